--- /dev/null
+++ b/src/admin/AdminTask.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "admin/EditRunner.h"
+#include "config/Settings.h"
+#include "core/Mailbox.h"
+#include "core/Messages.h"
+#include "http/HttpServer.h"
+#include "peer/PeerTask.h"
+#include "store/StoreTask.h"
+
+#include <map>
+#include <memory>
+
+namespace basildeck {
+
+class LwsLoop;
+class StoreClient;
+
+// The task that serves operators: health, metrics, status and the administration API.
+class AdminTask
+{
+public:
+    // Returns null if the operator address is taken.
+    static std::unique_ptr<AdminTask> make(const Settings &settings);
+    ~AdminTask();
+
+    // Names the mailbox that the task posts to and the figures that it shows. Called before run().
+    void connect(Mailbox<FrontMessage> &front, const PeerTask::Figures &peer,
+                 const StoreTask::Figures &store);
+    Mailbox<AdminMessage> &mailbox() { return m_mailbox; }
+    void run();
+    void stop();
+
+private:
+    explicit AdminTask(const Settings &settings);
+    void handle(HttpServer::RequestId id, const HttpRequest &request);
+    void handleAdmin(HttpServer::RequestId id, const HttpRequest &request);
+    void handleExplain(HttpServer::RequestId id, const HttpRequest &request);
+    void runEdit(HttpServer::RequestId id, ConfigEdit edit);
+    void askFront(HttpServer::RequestId id, StatusRequest request);
+    void onStatus(const StatusAnswer &answer);
+    void refuse(HttpServer::RequestId id, ErrorKind kind, const std::string &detail);
+    bool hasToken(const HttpRequest &request) const;
+    std::string figuresText() const;
+
+    Settings m_settings;
+    Mailbox<AdminMessage> m_mailbox;
+    Mailbox<FrontMessage> *m_front = nullptr;
+    const PeerTask::Figures *m_peerFigures = nullptr;
+    const StoreTask::Figures *m_storeFigures = nullptr;
+    std::unique_ptr<LwsLoop> m_loop;
+    std::unique_ptr<HttpServer> m_server;
+    std::unique_ptr<StoreClient> m_store;
+    std::unique_ptr<EditRunner> m_edits;
+    std::map<HttpServer::RequestId, StatusWanted> m_waiting;
+};
+
+} // namespace basildeck
--- /dev/null
+++ b/src/cli/EntryProcess.cpp
@@ -0,0 +1,105 @@
+#include "cli/EntryProcess.h"
+
+#include "admin/AdminTask.h"
+#include "core/Log.h"
+#include "http/FrontTask.h"
+#include "peer/PeerTask.h"
+#include "store/StoreTask.h"
+
+#include <csignal>
+#include <thread>
+
+namespace basildeck {
+
+namespace {
+
+constexpr const char *part = "entry";
+constexpr timespec signalPoll{ 0, 50'000'000 };
+
+sigset_t leaveSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    return signals;
+}
+
+auto taken(const Address &address)
+{
+    return failure(ErrorKind::InvalidSetting,
+                   "address \"" + address.toString() + "\" cannot be listened on");
+}
+
+} // namespace
+
+Result<std::unique_ptr<EntryProcess>> EntryProcess::make(const Settings &settings)
+{
+    // Blocked before any thread starts, so that only waitForSignals() takes them.
+    const sigset_t signals = leaveSignals();
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    std::unique_ptr<EntryProcess> process(new EntryProcess);
+    process->m_front = FrontTask::make(settings);
+    if (!process->m_front)
+        return taken(settings.callerAddress);
+    process->m_store = StoreTask::make(settings);
+    if (!process->m_store)
+        return failure(ErrorKind::Internal, "the store client cannot be made");
+    process->m_peer
+            = PeerTask::make(settings, process->m_front->mailbox(), process->m_store->mailbox());
+    if (!process->m_peer)
+        return taken(settings.peerAddress);
+    process->m_admin = AdminTask::make(settings);
+    if (!process->m_admin)
+        return taken(settings.operatorAddress);
+    process->m_front->connect(process->m_peer->mailbox(), process->m_admin->mailbox());
+    process->m_store->connect(process->m_peer->mailbox());
+    process->m_admin->connect(process->m_front->mailbox(), process->m_peer->figures(),
+                              process->m_store->figures());
+    return process;
+}
+
+EntryProcess::~EntryProcess() = default;
+
+void EntryProcess::requestLeave(bool hurry)
+{
+    m_front->mailbox().post(LeaveRequested{ hurry });
+    m_peer->mailbox().post(LeaveRequested{ hurry });
+}
+
+void EntryProcess::waitForSignals(const std::atomic<bool> &ended)
+{
+    const sigset_t signals = leaveSignals();
+    bool asked = false;
+    while (!ended.load()) {
+        if (sigtimedwait(&signals, nullptr, &signalPoll) < 0)
+            continue;
+        requestLeave(asked);
+        asked = true;
+    }
+}
+
+void EntryProcess::run()
+{
+    std::atomic<bool> ended{ false };
+    std::thread peer([this] { m_peer->run(); });
+    std::thread store([this] { m_store->run(); });
+    std::thread admin([this] { m_admin->run(); });
+    std::thread front([this, &ended] {
+        m_front->run();
+        ended.store(true);
+    });
+    BASILDECK_INFO(part) << "serving";
+    waitForSignals(ended);
+    front.join();
+    m_peer->stop();
+    m_store->stop();
+    m_admin->stop();
+    peer.join();
+    store.join();
+    admin.join();
+    BASILDECK_INFO(part) << "left";
+}
+
+} // namespace basildeck
--- /dev/null
+++ b/src/core/Metrics.cpp
@@ -0,0 +1,142 @@
+#include "core/Metrics.h"
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+
+#include <array>
+#include <sstream>
+
+namespace basildeck {
+
+namespace accumulators = boost::accumulators;
+
+namespace {
+
+constexpr std::array<double, 3> quantiles = { 0.5, 0.95, 0.99 };
+
+using LatencyAccumulator = accumulators::accumulator_set<
+        double, accumulators::stats<accumulators::tag::count, accumulators::tag::sum,
+                                    accumulators::tag::extended_p_square_quantile>>;
+
+std::string escaped(const std::string &label)
+{
+    std::string result;
+    for (const char character : label) {
+        if (character == '"' || character == '\\')
+            result += '\\';
+        result += character == '\n' ? ' ' : character;
+    }
+    return result;
+}
+
+std::string labels(const std::string &route, const std::string &organisation)
+{
+    return "route=\"" + escaped(route) + "\",organisation=\"" + escaped(organisation) + "\"";
+}
+
+void writeType(std::ostream &out, const char *name, const char *type, const char *help)
+{
+    out << "# HELP " << name << ' ' << help << "\n# TYPE " << name << ' ' << type << '\n';
+}
+
+} // namespace
+
+struct Metrics::Latency
+{
+    LatencyAccumulator accumulator{ accumulators::extended_p_square_probabilities = quantiles };
+};
+
+std::string_view retryReasonName(RetryReason reason)
+{
+    static constexpr std::array<std::string_view, 3> names
+            = { "connect-failed", "shed", "lost-idempotent" };
+    return names.at(static_cast<std::size_t>(reason));
+}
+
+Metrics::Metrics() = default;
+Metrics::~Metrics() = default;
+
+void Metrics::countRequest(const std::string &route, const std::string &organisation)
+{
+    ++m_requests[{ route, organisation }];
+}
+
+void Metrics::countCut(const std::string &route, const std::string &organisation)
+{
+    ++m_cuts[{ route, organisation }];
+}
+
+void Metrics::countRefusal(ErrorKind kind, const std::string &route,
+                           const std::string &organisation)
+{
+    ++m_refusals[{ kind, route, organisation }];
+}
+
+void Metrics::countRetry(RetryReason reason, const std::string &route,
+                         const std::string &organisation)
+{
+    ++m_retries[{ reason, route, organisation }];
+}
+
+void Metrics::noteLatency(const std::string &route, Duration latency)
+{
+    auto &entry = m_latencies[route];
+    if (!entry)
+        entry = std::make_unique<Latency>();
+    entry->accumulator(toSeconds(latency));
+}
+
+std::uint64_t Metrics::refusals(ErrorKind kind) const
+{
+    std::uint64_t sum = 0;
+    for (const auto &[key, count] : m_refusals)
+        sum += std::get<0>(key) == kind ? count : 0;
+    return sum;
+}
+
+std::string Metrics::prometheusText() const
+{
+    std::ostringstream out;
+    writeType(out, "basildeck_lookups_total", "counter", "Look-ups answered.");
+    out << "basildeck_lookups_total " << m_lookups << '\n';
+    writeType(out, "basildeck_requests_total", "counter", "Requests taken.");
+    for (const auto &[key, count] : m_requests)
+        out << "basildeck_requests_total{" << labels(key.first, key.second) << "} " << count
+            << '\n';
+    writeType(out, "basildeck_refusals_total", "counter", "Requests refused, by reason.");
+    for (const auto &[key, count] : m_refusals) {
+        const auto &[kind, route, organisation] = key;
+        out << "basildeck_refusals_total{reason=\"" << errorAnswer(kind).name << "\","
+            << labels(route, organisation) << "} " << count << '\n';
+    }
+    writeType(out, "basildeck_retries_total", "counter", "Requests sent again, by reason.");
+    for (const auto &[key, count] : m_retries) {
+        const auto &[reason, route, organisation] = key;
+        out << "basildeck_retries_total{reason=\"" << retryReasonName(reason) << "\","
+            << labels(route, organisation) << "} " << count << '\n';
+    }
+    writeType(out, "basildeck_cut_answers_total", "counter", "Answers cut short.");
+    for (const auto &[key, count] : m_cuts)
+        out << "basildeck_cut_answers_total{" << labels(key.first, key.second) << "} " << count
+            << '\n';
+    writeType(out, "basildeck_request_seconds", "summary", "Time from head to end of answer.");
+    for (const auto &[route, latency] : m_latencies) {
+        const LatencyAccumulator &accumulator = latency->accumulator;
+        for (const double quantile : quantiles) {
+            const double value = accumulators::quantile(
+                    accumulator, accumulators::quantile_probability = quantile);
+            out << "basildeck_request_seconds{route=\"" << escaped(route) << "\",quantile=\""
+                << quantile << "\"} " << value << '\n';
+        }
+        out << "basildeck_request_seconds_sum{route=\"" << escaped(route) << "\"} "
+            << accumulators::sum(accumulator) << '\n';
+        out << "basildeck_request_seconds_count{route=\"" << escaped(route) << "\"} "
+            << accumulators::count(accumulator) << '\n';
+    }
+    return out.str();
+}
+
+} // namespace basildeck
--- /dev/null
+++ b/src/core/Metrics.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "basildeck/ErrorKind.h"
+#include "basildeck/Time.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <tuple>
+
+namespace basildeck {
+
+// Why a request was sent again to another target.
+enum class RetryReason { ConnectFailed, Shed, LostIdempotent };
+
+// "connect-failed", "shed" or "lost-idempotent".
+std::string_view retryReasonName(RetryReason reason);
+
+// Counters and latencies of one task, by route and organisation.
+class Metrics
+{
+public:
+    Metrics();
+    ~Metrics();
+    Metrics(const Metrics &) = delete;
+    Metrics &operator=(const Metrics &) = delete;
+
+    void countRequest(const std::string &route, const std::string &organisation);
+    void countRefusal(ErrorKind kind, const std::string &route, const std::string &organisation);
+    void countRetry(RetryReason reason, const std::string &route, const std::string &organisation);
+    void countCut(const std::string &route, const std::string &organisation);
+    void countLookup() { ++m_lookups; }
+    // Time from the request's head to the end of its answer.
+    void noteLatency(const std::string &route, Duration latency);
+
+    std::uint64_t lookups() const { return m_lookups; }
+    std::uint64_t refusals(ErrorKind kind) const;
+    // The Prometheus text format, version 0.0.4.
+    std::string prometheusText() const;
+
+private:
+    struct Latency;
+    using RouteAndOrganisation = std::pair<std::string, std::string>;
+
+    std::uint64_t m_lookups = 0;
+    std::map<RouteAndOrganisation, std::uint64_t> m_requests;
+    std::map<RouteAndOrganisation, std::uint64_t> m_cuts;
+    std::map<std::tuple<ErrorKind, std::string, std::string>, std::uint64_t> m_refusals;
+    std::map<std::tuple<RetryReason, std::string, std::string>, std::uint64_t> m_retries;
+    std::map<std::string, std::unique_ptr<Latency>> m_latencies;
+};
+
+} // namespace basildeck
--- /dev/null
+++ b/src/decide/CrashList.cpp
@@ -0,0 +1,82 @@
+#include "decide/CrashList.h"
+
+#include <algorithm>
+
+namespace basildeck {
+
+void CrashList::expire(Time now)
+{
+    std::erase_if(m_suspects, [&](const auto &entry) {
+        return entry.second.running == 0 && now - entry.second.last > memory;
+    });
+}
+
+bool CrashList::mayRun(std::uint64_t fingerprint, Time now)
+{
+    const auto found = m_suspects.find(fingerprint);
+    if (found == m_suspects.end())
+        return true;
+    const Suspect &suspect = found->second;
+    if (now - suspect.last > memory)
+        return true;
+    return suspect.targets.size() < targetsToQuarantine && suspect.running == 0;
+}
+
+void CrashList::started(std::uint64_t fingerprint)
+{
+    const auto found = m_suspects.find(fingerprint);
+    if (found != m_suspects.end())
+        ++found->second.running;
+}
+
+void CrashList::finished(std::uint64_t fingerprint)
+{
+    const auto found = m_suspects.find(fingerprint);
+    if (found != m_suspects.end() && found->second.running > 0)
+        --found->second.running;
+}
+
+bool CrashList::note(const CrashReport &report, Time now)
+{
+    expire(now);
+    if (m_suspects.size() >= maxFingerprints && !m_suspects.contains(report.fingerprint)) {
+        const auto oldest = std::min_element(
+                m_suspects.begin(), m_suspects.end(),
+                [](const auto &a, const auto &b) { return a.second.last < b.second.last; });
+        m_suspects.erase(oldest);
+    }
+    Suspect &suspect = m_suspects[report.fingerprint];
+    const Time started = now - milliseconds(report.ranForMs);
+    if (!suspect.targets.empty() && started <= suspect.last)
+        return false;
+    suspect.last = now;
+    return suspect.targets.insert(report.target).second;
+}
+
+void CrashList::answered(std::uint64_t fingerprint)
+{
+    const auto found = m_suspects.find(fingerprint);
+    if (found != m_suspects.end() && found->second.targets.size() < targetsToQuarantine)
+        m_suspects.erase(found);
+}
+
+std::vector<CrashReport> CrashList::all(Time now)
+{
+    expire(now);
+    std::vector<CrashReport> reports;
+    for (const auto &[fingerprint, suspect] : m_suspects) {
+        for (const std::string &target : suspect.targets)
+            reports.push_back({ fingerprint, target, 0 });
+    }
+    return reports;
+}
+
+std::size_t CrashList::quarantined() const
+{
+    return static_cast<std::size_t>(
+            std::count_if(m_suspects.begin(), m_suspects.end(), [](const auto &entry) {
+                return entry.second.targets.size() >= targetsToQuarantine;
+            }));
+}
+
+} // namespace basildeck
--- /dev/null
+++ b/src/decide/EntryOrder.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "core/Members.h"
+
+#include <string>
+#include <vector>
+
+namespace basildeck {
+
+// The entry VMs that a caller of a region is told to use, best first: its own region before the
+// others, lightly loaded VMs before busy ones, and equal ones in an order that differs between
+// askers, so that they spread. Leaving, suspected and dead VMs are left out unless nothing else is
+// there. A pure function of its arguments.
+std::vector<Member> entryOrder(const MemberList &members, const std::string &callerRegion,
+                               const std::vector<std::string> &drainedRegions, std::uint64_t spread,
+                               std::size_t atMost);
+
+} // namespace basildeck
--- /dev/null
+++ b/src/decide/TargetPool.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "basildeck/Time.h"
+
+#include <cstddef>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace basildeck {
+
+// A target as one VM may use it.
+struct TargetSpec
+{
+    std::string name;
+    std::string region;
+    std::string zone;
+    int slots = 0;       // slots that this VM may use
+    bool closed = false; // leaving or drained: gets no new work
+};
+
+// How a run on a target ended, as this VM saw it.
+enum class RunOutcome { Answered, Shed, ConnectFailed, Lost, Cancelled };
+
+// Chooses targets of one service from what this VM observed itself. Reports of targets are not
+// used for more than a tie.
+class TargetPool
+{
+public:
+    // A target that fails this often in a row is set aside.
+    static constexpr int failuresToEject = 3;
+    static constexpr Duration firstEjection = milliseconds(1000);
+    static constexpr Duration longestEjection = seconds(30);
+    // A new target is given one slot, then one more in each of these steps.
+    static constexpr Duration rampStep = milliseconds(1000);
+
+    TargetPool(std::string region, std::string zone)
+        : m_region(std::move(region))
+        , m_zone(std::move(zone))
+    {}
+
+    // Replaces the list. What was observed of targets that stay is kept. Targets of the first list
+    // are not ramped.
+    void setTargets(const std::vector<TargetSpec> &specs, Time now);
+
+    // The target for the next request, without the given ones; nothing if all usable slots are
+    // taken.
+    std::optional<std::string> choose(const std::set<std::string> &without, Time now) const;
+    void started(const std::string &name);
+    void finished(const std::string &name, RunOutcome outcome, Duration took, Time now);
+
+    // True if some target is open, whether or not it has a free slot.
+    bool anyOpen() const;
+    // In-flight requests do not exceed the slots of any target.
+    bool fitsSlots() const;
+    int inFlight() const;
+    int slots() const;
+    // Expected duration of a request.
+    Duration typicalDuration() const { return m_typical; }
+
+    // What this VM believes of a target, for status pages.
+    struct View
+    {
+        std::string name;
+        int inFlight;
+        int slots;
+        bool closed;
+        bool ejected;
+    };
+    std::vector<View> views(Time now) const;
+
+private:
+    struct State
+    {
+        TargetSpec spec;
+        int inFlight = 0;
+        int failuresInRow = 0;
+        int ejections = 0;
+        Time ejectedUntil;
+        Time firstSeen;
+        bool ramped = false;
+        double latencySeconds = 0;
+    };
+
+    State *find(const std::string &name);
+    int usableSlots(const State &state, Time now) const;
+    int distance(const State &state) const;
+    bool mayEject() const;
+
+    std::string m_region;
+    std::string m_zone;
+    std::vector<State> m_states;
+    Duration m_typical{ 0 };
+    bool m_filled = false;
+};
+
+} // namespace basildeck
--- /dev/null
+++ b/src/http/FrontTask.cpp
@@ -0,0 +1,228 @@
+#include "http/FrontTask.h"
+
+#include "core/Log.h"
+#include "http/CallerServer.h"
+#include "http/LwsLoop.h"
+#include "http/LwsWire.h"
+#include "http/RequestPipeline.h"
+#include "http/UpstreamClient.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <chrono>
+
+namespace basildeck {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr const char *part = "front";
+constexpr const char *lookupPath = "/basildeck/v1/entries";
+constexpr microseconds tickPeriod{ 5'000 };
+// Callers may act on a cached answer for a moment after its end.
+constexpr Duration cacheMargin = milliseconds(500);
+constexpr Duration hurryLimit = milliseconds(1000);
+
+std::uint64_t processNumber()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<microseconds>(now).count());
+}
+
+json memberJson(const Member &member)
+{
+    return { { "vm", member.vm },
+             { "state", memberStateName(member.state) },
+             { "incarnation", member.incarnation },
+             { "region", member.region },
+             { "zone", member.zone },
+             { "address", member.caller.toString() },
+             { "loadPermille", member.loadPermille } };
+}
+
+} // namespace
+
+std::unique_ptr<FrontTask> FrontTask::make(const Settings &settings)
+{
+    std::unique_ptr<FrontTask> task(new FrontTask(settings));
+    LwsLoop::Options options;
+    options.maxHeaderBytes = settings.maxHeaderBytes;
+    options.maxHeaderPool = settings.maxConnections;
+    options.tick = tickPeriod;
+    task->m_loop = LwsLoop::make(options);
+    if (!task->m_loop)
+        return nullptr;
+    FrontTask *self = task.get();
+    CallerServer::Events callers;
+    callers.onLookup = [self](lws *connection, std::string_view path) {
+        return self->onLookup(connection, path);
+    };
+    callers.onRequest = [self](CallerServer::RequestId id, Result<RequestHead> head) {
+        self->m_pipeline->onRequest(id, std::move(head));
+    };
+    callers.onBody = [self](CallerServer::RequestId id, std::string_view bytes) {
+        self->m_pipeline->onBody(id, bytes);
+    };
+    callers.onBodyEnd = [self](CallerServer::RequestId id) { self->m_pipeline->onBodyEnd(id); };
+    callers.onDrained = [self](CallerServer::RequestId id) { self->m_pipeline->onDrained(id); };
+    callers.onGone = [self](CallerServer::RequestId id) { self->m_pipeline->onGone(id); };
+    UpstreamClient::Events upstreams;
+    upstreams.takeBody = [self](UpstreamClient::AttemptId id, std::size_t maxBytes) {
+        return self->m_pipeline->takeBody(id, maxBytes);
+    };
+    upstreams.onHead = [self](UpstreamClient::AttemptId id, const UpstreamHead &head) {
+        self->m_pipeline->onHead(id, head);
+    };
+    upstreams.onData = [self](UpstreamClient::AttemptId id, std::string_view bytes) {
+        self->m_pipeline->onData(id, bytes);
+    };
+    upstreams.onEnd = [self](UpstreamClient::AttemptId id, AttemptEnd end) {
+        self->m_pipeline->onEnd(id, end);
+    };
+    task->m_upstreams = UpstreamClient::make(*task->m_loop, std::move(upstreams));
+    task->m_callers = CallerServer::make(*task->m_loop, settings, std::move(callers));
+    if (!task->m_callers || !task->m_upstreams)
+        return nullptr;
+    task->m_loop->setOnWake([self] { self->onWake(); });
+    task->m_loop->setOnTick([self] { self->onTick(); });
+    task->m_mailbox.setWake([self] { self->m_loop->wake(); });
+    return task;
+}
+
+FrontTask::FrontTask(const Settings &settings)
+    : m_settings(settings)
+    , m_lookups(settings.region)
+    , m_started(Clock::now())
+{}
+
+FrontTask::~FrontTask()
+{
+    // Connections report their end to the pipeline while the loop is destroyed.
+    m_loop.reset();
+}
+
+void FrontTask::connect(Mailbox<PeerMessage> &peer, Mailbox<AdminMessage> &admin)
+{
+    m_peer = &peer;
+    m_admin = &admin;
+    m_pipeline = std::make_unique<RequestPipeline>(m_settings, peer, m_metrics, m_started,
+                                                   processNumber());
+    m_pipeline->connect(*m_callers, *m_upstreams);
+}
+
+void FrontTask::run()
+{
+    m_loop->run();
+}
+
+void FrontTask::onWake()
+{
+    const Time now = Clock::now();
+    for (FrontMessage &message : m_mailbox.takeAll())
+        handle(std::move(message), now);
+}
+
+void FrontTask::onTick()
+{
+    const Time now = Clock::now();
+    m_upstreams->reportFailed();
+    m_pipeline->tick(now);
+    continueLeaving(now);
+}
+
+void FrontTask::handle(FrontMessage message, Time now)
+{
+    std::visit(Overloaded{
+                       [&](ConfigInForce &config) {
+                           m_answerMaxAgeSeconds = config.config->defaults.answerMaxAgeSeconds;
+                           m_lookups.setConfig(config.version, *config.config);
+                           m_pipeline->setConfig(config, now);
+                       },
+                       [&](MembersChanged &changed) {
+                           m_members = std::move(changed.members);
+                           m_lookups.setMembers(m_members);
+                           m_pipeline->setMembers(m_members);
+                       },
+                       [&](HolderTableChanged &changed) {
+                           m_pipeline->setHolders(changed.table, now);
+                       },
+                       [&](HolderAcknowledged &acknowledged) {
+                           m_pipeline->acknowledgeHolder(acknowledged, now);
+                       },
+                       [&](ServeUntil &serve) { m_pipeline->setServeUntil(serve.until); },
+                       [&](FrontPayloadFrom &from) { m_pipeline->onPayload(from, now); },
+                       [&](StatusRequest &request) { answerStatus(request, now); },
+                       [&](LeaveRequested &leave) {
+                           const Duration grace = std::max<Duration>(m_settings.leaveGrace,
+                                                                     seconds(m_answerMaxAgeSeconds)
+                                                                             + cacheMargin);
+                           m_hurry = m_hurry || leave.hurry;
+                           if (!m_leaveAt)
+                               m_leaveAt = now + grace;
+                           if (m_hurry)
+                               m_leaveAt = std::min(*m_leaveAt, now);
+                           BASILDECK_INFO(part) << "leaving";
+                       },
+               },
+               message);
+}
+
+// Look-ups stop naming this VM at once. It serves until callers' cached answers have ended and
+// every request is answered.
+void FrontTask::continueLeaving(Time now)
+{
+    if (!m_leaveAt || now < *m_leaveAt)
+        return;
+    m_callers->closeIdleConnections();
+    m_pipeline->refuseNewRequests();
+    const bool idle = m_pipeline->openRequests() == 0 && m_callers->openRequests() == 0;
+    const bool outOfTime = m_hurry && now > *m_leaveAt + hurryLimit;
+    if (!idle && !outOfTime)
+        return;
+    BASILDECK_INFO(part) << "left with " << m_pipeline->openRequests() << " open requests";
+    m_peer->post(FrontDrained{});
+    m_loop->stop();
+}
+
+bool FrontTask::onLookup(lws *connection, std::string_view path)
+{
+    if (path != lookupPath)
+        return false;
+    m_metrics.countLookup();
+    return wire::writeAnswer(connection, m_lookups.answerFor(wire::peerIp(connection)), false);
+}
+
+void FrontTask::answerStatus(const StatusRequest &request, Time now)
+{
+    StatusAnswer answer;
+    answer.id = request.id;
+    answer.ready = !m_leaveAt && m_pipeline->ready(now);
+    if (request.wants == StatusWanted::Metrics)
+        answer.text = m_metrics.prometheusText();
+    if (request.wants == StatusWanted::Status) {
+        json status = m_pipeline->status(now);
+        status["vm"] = m_settings.vmName;
+        status["leaving"] = m_leaveAt.has_value();
+        status["lookups"] = m_metrics.lookups();
+        status["connections"] = m_callers->connections();
+        status["members"] = json::array();
+        for (const Member &member : m_members)
+            status["members"].push_back(memberJson(member));
+        answer.text = status.dump();
+    }
+    if (request.wants == StatusWanted::Explanation) {
+        json explanation
+                = m_pipeline->explain(request.method, request.host, request.path, request.key);
+        const std::string &region = m_lookups.regionOf(request.callerIp);
+        explanation["callerRegion"] = region;
+        explanation["entries"] = json::array();
+        for (const Member &member : m_lookups.entriesFor(region))
+            explanation["entries"].push_back(member.vm);
+        answer.text = explanation.dump();
+    }
+    m_admin->post(std::move(answer));
+}
+
+} // namespace basildeck
--- /dev/null
+++ b/src/http/LwsWire.cpp
@@ -0,0 +1,179 @@
+#include "http/LwsWire.h"
+
+#include <libwebsockets.h>
+
+#include <array>
+#include <cstring>
+
+namespace basildeck::wire {
+
+namespace {
+
+struct MethodToken
+{
+    lws_token_indexes token;
+    const char *name;
+};
+
+constexpr std::array<MethodToken, 7> methodTokens = { {
+        { WSI_TOKEN_GET_URI, "GET" },
+        { WSI_TOKEN_POST_URI, "POST" },
+        { WSI_TOKEN_PUT_URI, "PUT" },
+        { WSI_TOKEN_DELETE_URI, "DELETE" },
+        { WSI_TOKEN_PATCH_URI, "PATCH" },
+        { WSI_TOKEN_HEAD_URI, "HEAD" },
+        { WSI_TOKEN_OPTIONS_URI, "OPTIONS" },
+} };
+
+constexpr std::size_t headRoom = 1024; // status line and the fixed headers of an answer
+
+bool addHeader(lws *connection, std::string_view name, std::string_view value, unsigned char **at,
+               unsigned char *end)
+{
+    const std::string withColon = std::string(name) + ":";
+    return lws_add_http_header_by_name(connection,
+                                       reinterpret_cast<const unsigned char *>(withColon.c_str()),
+                                       reinterpret_cast<const unsigned char *>(value.data()),
+                                       static_cast<int>(value.size()), at, end)
+           == 0;
+}
+
+std::size_t headerBytes(const HttpAnswer &answer)
+{
+    std::size_t bytes = headRoom;
+    for (const HttpHeader &header : answer.headers)
+        bytes += header.name.size() + header.value.size() + 8;
+    return bytes;
+}
+
+bool isHttp2(lws *connection)
+{
+    return lws_get_network_wsi(connection) != connection;
+}
+
+} // namespace
+
+std::string method(lws *connection)
+{
+    const auto http2 = tokenHeader(connection, WSI_TOKEN_HTTP_COLON_METHOD);
+    if (http2)
+        return *http2;
+    for (const MethodToken &entry : methodTokens) {
+        if (lws_hdr_total_length(connection, entry.token) > 0)
+            return entry.name;
+    }
+    return "";
+}
+
+std::string encodedPath(lws *connection, std::string_view decoded)
+{
+    static_cast<void>(connection);
+    return percentEncode(decoded, "/!$&'()*,:@=");
+}
+
+std::string encodedQuery(lws *connection)
+{
+    std::string query;
+    std::array<char, 4096> fragment{};
+    for (int index = 0;; ++index) {
+        const int length = lws_hdr_copy_fragment(connection, fragment.data(),
+                                                 static_cast<int>(fragment.size()),
+                                                 WSI_TOKEN_HTTP_URI_ARGS, index);
+        if (length < 0)
+            return query;
+        const std::string_view text(fragment.data(), static_cast<std::size_t>(length));
+        if (!query.empty())
+            query += '&';
+        const auto equals = text.find('=');
+        query += percentEncode(text.substr(0, equals), "/:@");
+        if (equals != std::string_view::npos)
+            query += "=" + percentEncode(text.substr(equals + 1), "/:@");
+    }
+}
+
+std::optional<std::string> tokenHeader(lws *connection, int token)
+{
+    const auto index = static_cast<lws_token_indexes>(token);
+    const int length = lws_hdr_total_length(connection, index);
+    if (length <= 0)
+        return std::nullopt;
+    std::string value(static_cast<std::size_t>(length) + 1, '\0');
+    const int copied = lws_hdr_copy(connection, value.data(), length + 1, index);
+    if (copied < 0)
+        return std::nullopt;
+    value.resize(static_cast<std::size_t>(copied));
+    return value;
+}
+
+std::optional<std::string> namedHeader(lws *connection, std::string_view name)
+{
+    const std::string withColon = std::string(name) + ":";
+    const int nameLength = static_cast<int>(withColon.size());
+    const int length = lws_hdr_custom_length(connection, withColon.c_str(), nameLength);
+    if (length < 0)
+        return std::nullopt;
+    std::string value(static_cast<std::size_t>(length) + 1, '\0');
+    const int copied = lws_hdr_custom_copy(connection, value.data(), length + 1, withColon.c_str(),
+                                           nameLength);
+    if (copied < 0)
+        return std::nullopt;
+    value.resize(static_cast<std::size_t>(copied));
+    return value;
+}
+
+std::string peerIp(lws *connection)
+{
+    std::array<char, 64> ip{};
+    lws_get_peer_simple(lws_get_network_wsi(connection), ip.data(), ip.size());
+    return ip.data();
+}
+
+std::size_t writePadding()
+{
+    return LWS_PRE;
+}
+
+bool writeAnswer(lws *connection, const HttpAnswer &answer, bool close)
+{
+    const std::size_t room = headerBytes(answer);
+    std::string buffer(LWS_PRE + room + answer.body.size() + LWS_PRE, '\0');
+    auto *start = reinterpret_cast<unsigned char *>(buffer.data()) + LWS_PRE;
+    unsigned char *at = start;
+    unsigned char *end = start + room;
+    const bool bodyless = answer.status == 204 || answer.status == 304;
+    if (lws_add_http_header_status(connection, static_cast<unsigned int>(answer.status), &at, end)
+        != 0)
+        return false;
+    bool added = true;
+    if (!bodyless) {
+        added = addHeader(connection, "content-type", answer.contentType, &at, end)
+                && lws_add_http_header_content_length(connection, answer.body.size(), &at, end)
+                           == 0;
+    }
+    for (const HttpHeader &header : answer.headers)
+        added = added && addHeader(connection, header.name, header.value, &at, end);
+    if (close && !isHttp2(connection))
+        added = added && addHeader(connection, "connection", "close", &at, end);
+    if (!added || lws_finalize_http_header(connection, &at, end) != 0)
+        return false;
+    const bool hasBody = !bodyless && !answer.body.empty();
+    if (!isHttp2(connection)) {
+        std::memcpy(at, answer.body.data(), hasBody ? answer.body.size() : 0);
+        const std::size_t length
+                = static_cast<std::size_t>(at - start) + (hasBody ? answer.body.size() : 0);
+        return lws_write(connection, start, length, LWS_WRITE_HTTP_HEADERS) >= 0;
+    }
+    const auto headFlags = static_cast<lws_write_protocol>(
+            LWS_WRITE_HTTP_HEADERS | (hasBody ? 0 : LWS_WRITE_H2_STREAM_END));
+    if (lws_write(connection, start, static_cast<std::size_t>(at - start), headFlags) < 0)
+        return false;
+    if (!hasBody)
+        return true;
+    std::string body(LWS_PRE, '\0');
+    body += answer.body;
+    return lws_write(connection, reinterpret_cast<unsigned char *>(body.data()) + LWS_PRE,
+                     answer.body.size(), LWS_WRITE_HTTP_FINAL)
+           >= 0;
+}
+
+} // namespace basildeck::wire
--- /dev/null
+++ b/src/http/RequestPipeline.cpp
@@ -0,0 +1,1039 @@
+#include "http/RequestPipeline.h"
+
+#include "core/Hash.h"
+#include "decide/SlotMap.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cassert>
+
+namespace basildeck {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr Duration reportInterval = milliseconds(100);
+constexpr const char *openOrganisation = "(open)";
+
+bool isIdempotent(const Route &route, const std::string &method)
+{
+    if (route.idempotence != Idempotence::ByMethod)
+        return route.idempotence == Idempotence::Always;
+    return method != "POST" && method != "PATCH";
+}
+
+const Service *findService(const FleetConfig &config, const std::string &name)
+{
+    const auto found = std::find_if(config.services.begin(), config.services.end(),
+                                    [&](const Service &service) { return service.name == name; });
+    return found == config.services.end() ? nullptr : &*found;
+}
+
+const Target *findTarget(const Service &service, const std::string &name)
+{
+    const auto found = std::find_if(service.targets.begin(), service.targets.end(),
+                                    [&](const Target &target) { return target.name == name; });
+    return found == service.targets.end() ? nullptr : &*found;
+}
+
+bool isDrained(const FleetConfig &config, const std::string &region)
+{
+    return std::any_of(config.regions.begin(), config.regions.end(),
+                       [&](const Region &entry) { return entry.name == region && entry.drained; });
+}
+
+HttpAnswer refusalAnswer(ErrorKind kind, RunState run, const std::string &detail)
+{
+    const ErrorAnswer &row = errorAnswer(kind);
+    HttpAnswer answer;
+    answer.status = row.status;
+    answer.headers.push_back({ "basildeck-refusal", std::string(row.name) });
+    answer.headers.push_back({ "basildeck-run", std::string(runStateName(run)) });
+    if (row.retryAfterSeconds > 0)
+        answer.headers.push_back({ "retry-after", std::to_string(row.retryAfterSeconds) });
+    if (row.status == 401)
+        answer.headers.push_back({ "www-authenticate", "Bearer" });
+    answer.body
+            = json({ { "refusal", row.name }, { "run", runStateName(run) }, { "detail", detail } })
+                      .dump(-1, ' ', false, json::error_handler_t::replace);
+    return answer;
+}
+
+} // namespace
+
+RequestPipeline::RequestPipeline(const Settings &settings, Mailbox<PeerMessage> &peer,
+                                 Metrics &metrics, Time processStart, std::uint64_t processNumber)
+    : m_settings(settings)
+    , m_peer(peer)
+    , m_metrics(metrics)
+    , m_processStart(processStart)
+    , m_processNumber(processNumber)
+    , m_holders(settings.vmName)
+{}
+
+RequestPipeline::~RequestPipeline() = default;
+
+void RequestPipeline::connect(CallerServer &callers, UpstreamClient &upstreams)
+{
+    m_callers = &callers;
+    m_upstreams = &upstreams;
+}
+
+Exchange *RequestPipeline::find(CallerServer::RequestId id)
+{
+    const auto found = m_exchanges.find(id);
+    return found == m_exchanges.end() ? nullptr : found->second.get();
+}
+
+Exchange *RequestPipeline::findByAttempt(UpstreamClient::AttemptId id)
+{
+    const auto found = m_attempts.find(id);
+    return found == m_attempts.end() ? nullptr : find(found->second);
+}
+
+void RequestPipeline::erase(CallerServer::RequestId id)
+{
+    m_exchanges.erase(id);
+}
+
+// ---- Refusals and ends
+
+void RequestPipeline::refuse(Exchange &exchange, ErrorKind kind, const std::string &detail)
+{
+    const std::string route = exchange.route == nullptr ? "" : exchange.route->name;
+    m_metrics.countRefusal(kind, route, exchange.organisation);
+    const RunState run = exchange.mayHaveRun ? RunState::Unknown : errorAnswer(kind).run;
+    finishClaim(exchange);
+    const CallerServer::RequestId id = exchange.id;
+    m_callers->answer(id, refusalAnswer(kind, run, detail));
+    erase(id);
+}
+
+void RequestPipeline::cut(Exchange &exchange)
+{
+    m_metrics.countCut(exchange.route->name, exchange.organisation);
+    exchange.outcome = {};
+    finishClaim(exchange);
+    m_callers->cut(exchange.id);
+    erase(exchange.id);
+}
+
+// Records the outcome of a claim, or gives it back if the request was certainly not run.
+void RequestPipeline::finishClaim(Exchange &exchange)
+{
+    if (!exchange.claim)
+        return;
+    const std::string owner = claimOwner(exchange.claimKey);
+    const Time now = Clock::now();
+    if (exchange.claimGranted && exchange.mayHaveRun) {
+        const ClaimFinish finish{ *exchange.claim, exchange.claimKey, exchange.outcome };
+        m_unconfirmed[exchange.id] = { finish, now, now };
+        m_peer.post(StorePayloadTo{ owner, finish });
+    } else {
+        if (!exchange.claimGranted)
+            m_endedUndecided[exchange.id] = now;
+        m_peer.post(StorePayloadTo{ owner, ClaimRelease{ *exchange.claim, exchange.claimKey } });
+    }
+    exchange.claim.reset();
+}
+
+// A repeat of the request is told its outcome only when that is recorded.
+void RequestPipeline::resendFinishes(Time now)
+{
+    std::erase_if(m_unconfirmed,
+                  [&](const auto &entry) { return now - entry.second.first > claimMemory; });
+    std::erase_if(m_endedUndecided,
+                  [&](const auto &entry) { return now - entry.second > claimMemory; });
+    for (auto &[id, unconfirmed] : m_unconfirmed) {
+        if (now - unconfirmed.sent < claimResend)
+            continue;
+        unconfirmed.sent = now;
+        m_peer.post(StorePayloadTo{ claimOwner(unconfirmed.finish.key), unconfirmed.finish });
+    }
+}
+
+// Stops whatever the exchange waits for, without an answer.
+void RequestPipeline::abandon(Exchange &exchange, Time now)
+{
+    switch (exchange.stage) {
+    case Stage::Rate:
+        if (const auto gate = m_gates.find(exchange.organisation); gate != m_gates.end())
+            gate->second->forget(exchange.id);
+        break;
+    case Stage::Queue:
+        m_services.at(exchange.service->name).queue.forget(exchange.id);
+        break;
+    case Stage::Running:
+    case Stage::Answering:
+        endAttempt(exchange, RunOutcome::Cancelled, now);
+        break;
+    case Stage::Body:
+    case Stage::Claim:
+        break;
+    }
+}
+
+void RequestPipeline::onGone(CallerServer::RequestId id)
+{
+    Exchange *exchange = find(id);
+    if (exchange == nullptr)
+        return;
+    abandon(*exchange, Clock::now());
+    exchange->outcome = {};
+    finishClaim(*exchange);
+    const std::string service = exchange->service->name;
+    erase(id);
+    pump(service, Clock::now());
+}
+
+void RequestPipeline::onDeadline(Exchange &exchange, Time now)
+{
+    const Stage stage = exchange.stage;
+    const std::string service = exchange.service->name;
+    abandon(exchange, now);
+    switch (stage) {
+    case Stage::Rate:
+        refuse(exchange, ErrorKind::OverRate, "no token of the organisation came in time");
+        return;
+    case Stage::Body:
+    case Stage::Queue:
+        refuse(exchange, ErrorKind::DeadlineExceeded,
+               "the deadline passed before a target was free");
+        return;
+    case Stage::Claim:
+        refuse(exchange, ErrorKind::ClaimUnavailable,
+               "the idempotency key was not decided in time");
+        return;
+    case Stage::Running:
+        refuse(exchange, ErrorKind::UpstreamTimeout, "the upstream did not answer in time");
+        break;
+    case Stage::Answering:
+        cut(exchange);
+        break;
+    }
+    pump(service, now);
+}
+
+// ---- Head
+
+void RequestPipeline::onRequest(CallerServer::RequestId id, Result<RequestHead> head)
+{
+    const Time now = Clock::now();
+    auto owned = std::make_unique<Exchange>();
+    Exchange &exchange = *owned;
+    exchange.id = id;
+    exchange.arrived = now;
+    exchange.config = m_config.config;
+    m_exchanges.emplace(id, std::move(owned));
+    if (!head) {
+        refuse(exchange, head.error().kind, head.error().detail);
+        return;
+    }
+    exchange.head = std::move(head.value());
+    if (const auto checked = check(exchange, now); !checked) {
+        refuse(exchange, checked.error().kind, checked.error().detail);
+        return;
+    }
+    m_metrics.countRequest(exchange.route->name, exchange.organisation);
+    startRate(exchange, now);
+}
+
+Result<void> RequestPipeline::check(Exchange &exchange, Time now)
+{
+    const RequestHead &head = exchange.head;
+    if (m_refusing)
+        return failure(ErrorKind::Leaving, "this VM is leaving");
+    if (!exchange.config)
+        return failure(ErrorKind::NoConfiguration, "this VM has no configuration yet");
+    const Route *route = findRoute(*exchange.config, head.host, percentDecode(head.path));
+    if (route == nullptr)
+        return failure(ErrorKind::UnknownRoute, "no route for path \"" + head.path + "\"");
+    exchange.route = route;
+    exchange.service = findService(*exchange.config, route->service);
+    BOOST_OUTCOME_TRYV(checkKey(exchange, now));
+    if (head.contentLength.value_or(0) > m_settings.maxBodyBytes)
+        return failure(ErrorKind::BodyTooLarge, "the body is larger than "
+                                                        + std::to_string(m_settings.maxBodyBytes)
+                                                        + " bytes");
+    const long timeoutMs
+            = std::min<long>(route->timeoutMs, head.timeoutMs.value_or(route->timeoutMs));
+    exchange.deadline = now + milliseconds(timeoutMs);
+    if (timeoutMs == 0)
+        return failure(ErrorKind::DeadlineExceeded, "the deadline is already over");
+    exchange.idempotent = isIdempotent(*route, head.method);
+    return success();
+}
+
+// A key that stands anywhere else than in the Authorization header would reach the upstream.
+bool RequestPipeline::carriesKey(const RequestHead &head) const
+{
+    for (const std::string &part : keyLikeParts(head)) {
+        if (m_organisationByKey.contains(sha256Hex(part)))
+            return true;
+    }
+    return false;
+}
+
+Result<void> RequestPipeline::checkKey(Exchange &exchange, Time now)
+{
+    const RequestHead &head = exchange.head;
+    const Route &route = *exchange.route;
+    if (carriesKey(head))
+        return failure(ErrorKind::BadRequest, "a key stands outside of the Authorization header");
+    if (head.key.empty()) {
+        if (route.open)
+            return success();
+        return failure(ErrorKind::KeyMissing, "the route \"" + route.name + "\" needs a key");
+    }
+    if (route.open && !m_organisationByKey.contains(sha256Hex(head.key)))
+        return success();
+    if (now > m_serveUntil && !route.open)
+        return failure(ErrorKind::CutOff,
+                       "this VM cannot tell whether keys were withdrawn; ask another one");
+    exchange.keyHash = sha256Hex(head.key);
+    const auto organisation = m_organisationByKey.find(exchange.keyHash);
+    if (organisation == m_organisationByKey.end())
+        return failure(ErrorKind::KeyUnknown, "the key is not known");
+    const auto &allowed = route.organisations;
+    const bool fits
+            = allowed.empty()
+              || std::find(allowed.begin(), allowed.end(), organisation->second) != allowed.end();
+    if (!fits && !route.open)
+        return failure(ErrorKind::OrganisationNotAllowed, "organisation \"" + organisation->second
+                                                                  + "\" may not use route \""
+                                                                  + route.name + "\"");
+    exchange.organisation = organisation->second;
+    return success();
+}
+
+// ---- Rate
+
+void RequestPipeline::startRate(Exchange &exchange, Time now)
+{
+    const auto gate = m_gates.find(exchange.organisation);
+    if (gate == m_gates.end()) {
+        onAdmitted(exchange, now);
+        return;
+    }
+    switch (gate->second->admit(exchange.id, now, exchange.deadline)) {
+    case RateGate::Verdict::Admitted:
+        onAdmitted(exchange, now);
+        return;
+    case RateGate::Verdict::Refused:
+        refuse(exchange, ErrorKind::OverRate,
+               "organisation \"" + exchange.organisation + "\" is over its rate");
+        return;
+    case RateGate::Verdict::Waiting:
+        sendAsks(now);
+        return;
+    }
+}
+
+void RequestPipeline::onAdmitted(Exchange &exchange, Time now)
+{
+    exchange.stage = Stage::Body;
+    if (exchange.head.expectsContinue)
+        m_callers->sendContinue(exchange.id);
+    continueWithBody(exchange, now);
+}
+
+// ---- Body
+
+void RequestPipeline::onBody(CallerServer::RequestId id, std::string_view bytes)
+{
+    Exchange *exchange = find(id);
+    if (exchange == nullptr)
+        return;
+    exchange->body.append(bytes);
+    exchange->bodyReceived += bytes.size();
+    if (exchange->body.size() - exchange->bodyTaken > CallerServer::highWaterBytes)
+        m_callers->pauseBody(id, true);
+    if (exchange->stage == Stage::Body)
+        continueWithBody(*exchange, Clock::now());
+    else if (exchange->attempt)
+        m_upstreams->bodyReady(*exchange->attempt);
+}
+
+void RequestPipeline::onBodyEnd(CallerServer::RequestId id)
+{
+    Exchange *exchange = find(id);
+    if (exchange == nullptr)
+        return;
+    exchange->bodyEnded = true;
+    if (exchange->stage == Stage::Body)
+        continueWithBody(*exchange, Clock::now());
+    else if (exchange->attempt)
+        m_upstreams->bodyReady(*exchange->attempt);
+}
+
+void RequestPipeline::continueWithBody(Exchange &exchange, Time now)
+{
+    const bool enough
+            = exchange.bodyEnded || !exchange.head.hasBody() || exchange.body.size() > replayBytes;
+    if (!enough)
+        return;
+    const RequestHead &head = exchange.head;
+    std::string identity = exchange.organisation + '\n' + exchange.route->name + '\n' + head.method
+                           + '\n' + head.target() + '\n'
+                           + std::to_string(head.contentLength.value_or(0)) + '\n';
+    identity.append(exchange.body, 0, replayBytes);
+    exchange.fingerprint = stableHash(identity);
+    const bool claims = !exchange.idempotent && !head.idempotencyKey.empty();
+    if (claims)
+        startClaim(exchange, now);
+    else
+        startQueue(exchange, now);
+}
+
+UpstreamClient::BodyPart RequestPipeline::takeBody(UpstreamClient::AttemptId id,
+                                                   std::size_t maxBytes)
+{
+    Exchange *exchange = findByAttempt(id);
+    if (exchange == nullptr)
+        return {};
+    if (exchange->bodyTaken > replayBytes) {
+        exchange->body.erase(0, exchange->bodyTaken);
+        exchange->bodyTaken = 0;
+        exchange->bodyDiscarded = true;
+    }
+    const std::string_view rest = std::string_view(exchange->body).substr(exchange->bodyTaken);
+    const std::string_view part = rest.substr(0, maxBytes);
+    exchange->bodyTaken += part.size();
+    const bool last = exchange->bodyEnded && part.size() == rest.size();
+    if (rest.size() - part.size() < CallerServer::lowWaterBytes)
+        m_callers->pauseBody(exchange->id, false);
+    return { part, last };
+}
+
+// ---- Claim
+
+std::string RequestPipeline::claimOwner(const std::string &key) const
+{
+    std::vector<std::string> live;
+    for (const Member &member : m_members) {
+        if (member.state == MemberState::Alive)
+            live.push_back(member.vm);
+    }
+    if (live.empty())
+        return m_settings.vmName;
+    return live[rendezvousPick(ClaimBook::bucketName(ClaimBook::bucketOf(key)), live)];
+}
+
+void RequestPipeline::startClaim(Exchange &exchange, Time now)
+{
+    exchange.stage = Stage::Claim;
+    exchange.claim = ClaimId{ m_settings.vmName, m_processNumber, exchange.id };
+    exchange.claimKey
+            = sha256Hex(exchange.organisation + '\n' + exchange.head.idempotencyKey).substr(0, 32);
+    exchange.deadline = std::min(exchange.deadline, now + claimTimeout);
+    sendClaim(exchange, now);
+}
+
+void RequestPipeline::sendClaim(Exchange &exchange, Time now)
+{
+    exchange.claimSent = now;
+    m_peer.post(
+            StorePayloadTo{ claimOwner(exchange.claimKey),
+                            ClaimBegin{ *exchange.claim, exchange.claimKey, exchange.fingerprint,
+                                        exchange.config->defaults.claimRetentionSeconds } });
+}
+
+void RequestPipeline::onClaimDecision(const std::string &owner, const ClaimDecision &decision,
+                                      Time now)
+{
+    const bool ours
+            = decision.id.vm == m_settings.vmName && decision.id.incarnation == m_processNumber;
+    if (!ours)
+        return;
+    if (decision.verdict == ClaimVerdict::Recorded) {
+        m_unconfirmed.erase(decision.id.sequence);
+        return;
+    }
+    Exchange *exchange = find(decision.id.sequence);
+    // Only a request that ended before any grant is known never to have been sent on.
+    if (decision.verdict == ClaimVerdict::Granted
+        && m_endedUndecided.contains(decision.id.sequence))
+        m_peer.post(StorePayloadTo{ owner, ClaimRelease{ decision.id, decision.key } });
+    if (exchange == nullptr || exchange->stage != Stage::Claim)
+        return;
+    switch (decision.verdict) {
+    case ClaimVerdict::Granted:
+        exchange->claimGranted = true;
+        exchange->deadline = exchange->arrived + milliseconds(exchange->route->timeoutMs);
+        if (exchange->head.timeoutMs)
+            exchange->deadline
+                    = std::min(exchange->deadline,
+                               exchange->arrived + milliseconds(*exchange->head.timeoutMs));
+        startQueue(*exchange, now);
+        return;
+    case ClaimVerdict::Replay:
+        exchange->claim.reset();
+        replay(*exchange, decision.outcome);
+        return;
+    case ClaimVerdict::InProgress:
+        exchange->claim.reset();
+        refuse(*exchange, ErrorKind::ClaimInProgress, "a request with this key is being run");
+        return;
+    case ClaimVerdict::OutcomeUnknown:
+        exchange->claim.reset();
+        refuse(*exchange, ErrorKind::ClaimOutcomeUnknown,
+               "a request with this key was sent on and its outcome is not known");
+        return;
+    case ClaimVerdict::Mismatch:
+        exchange->claim.reset();
+        refuse(*exchange, ErrorKind::ClaimMismatch, "another request has used this key");
+        return;
+    case ClaimVerdict::Unavailable:
+        refuse(*exchange, ErrorKind::ClaimUnavailable, "the store did not record the key in time");
+        return;
+    case ClaimVerdict::Recorded:
+        return;
+    }
+}
+
+void RequestPipeline::replay(Exchange &exchange, const ClaimOutcome &outcome)
+{
+    if (!outcome.bodyKept) {
+        refuse(exchange, ErrorKind::ClaimOutcomeUnknown,
+               "the request was run and answered " + std::to_string(outcome.status)
+                       + "; its answer was too large to be kept");
+        return;
+    }
+    HttpAnswer answer;
+    answer.status = outcome.status;
+    answer.contentType = outcome.contentType;
+    answer.headers.push_back({ "basildeck-replayed", "true" });
+    answer.body = outcome.body;
+    const CallerServer::RequestId id = exchange.id;
+    m_metrics.noteLatency(exchange.route->name, Clock::now() - exchange.arrived);
+    m_callers->answer(id, std::move(answer));
+    erase(id);
+}
+
+// ---- Queue and run
+
+void RequestPipeline::startQueue(Exchange &exchange, Time now)
+{
+    if (!m_crashes.mayRun(exchange.fingerprint, now)) {
+        refuse(exchange, ErrorKind::Quarantined, "requests like this one crashed upstreams");
+        return;
+    }
+    ServiceState &state = m_services.at(exchange.service->name);
+    if (!state.pool.anyOpen()) {
+        refuse(exchange, ErrorKind::NoTarget,
+               "service \"" + exchange.service->name + "\" has no open target");
+        return;
+    }
+    exchange.stage = Stage::Queue;
+    const std::string &organisation
+            = exchange.organisation.empty() ? openOrganisation : exchange.organisation;
+    if (!state.queue.push(exchange.id, organisation, exchange.deadline)) {
+        refuse(exchange, ErrorKind::QueueFull,
+               "too many requests of organisation \"" + organisation + "\" wait");
+        return;
+    }
+    pump(exchange.service->name, now);
+}
+
+void RequestPipeline::pump(const std::string &service, Time now)
+{
+    const auto found = m_services.find(service);
+    if (found == m_services.end())
+        return;
+    ServiceState &state = found->second;
+    for (const FairQueue::RequestId id :
+         state.queue.takeExpired(now + state.pool.typicalDuration())) {
+        if (Exchange *exchange = find(id))
+            refuse(*exchange, ErrorKind::DeadlineExceeded,
+                   "the deadline would pass before an answer");
+    }
+    while (!state.queue.empty() && state.pool.choose({}, now)) {
+        const auto id = state.queue.pop();
+        Exchange *exchange = find(*id);
+        assert(exchange != nullptr);
+        // A request that is sent again avoids the targets that it has tried, if it can.
+        auto target = state.pool.choose(exchange->triedTargets, now);
+        if (!target)
+            target = state.pool.choose({}, now);
+        dispatch(*exchange, *target, now);
+    }
+}
+
+void RequestPipeline::dispatch(Exchange &exchange, const std::string &targetName, Time now)
+{
+    if (!m_crashes.mayRun(exchange.fingerprint, now)) {
+        refuse(exchange, ErrorKind::Quarantined, "requests like this one crashed upstreams");
+        return;
+    }
+    const Target *target = findTarget(*exchange.service, targetName);
+    if (target == nullptr) {
+        // The target was added by a later configuration than the one the request came in under.
+        exchange.config = m_config.config;
+        exchange.route = findRoute(*exchange.config, exchange.head.host,
+                                   percentDecode(exchange.head.path));
+        exchange.service = exchange.route == nullptr
+                                   ? nullptr
+                                   : findService(*exchange.config, exchange.route->service);
+        target = exchange.service == nullptr ? nullptr : findTarget(*exchange.service, targetName);
+    }
+    if (target == nullptr) {
+        refuse(exchange, ErrorKind::UnknownRoute, "the route has changed");
+        return;
+    }
+    if (exchange.attempts++ == 0)
+        m_retries.noteFresh();
+    m_services.at(exchange.service->name).pool.started(targetName);
+    m_crashes.started(exchange.fingerprint);
+    exchange.stage = Stage::Running;
+    exchange.target = targetName;
+    exchange.attemptStarted = now;
+    exchange.bodyTaken = 0;
+
+    UpstreamRequest request;
+    request.method = exchange.head.method;
+    request.target = exchange.head.target();
+    request.host = exchange.head.host;
+    request.headers = exchange.head.forwarded;
+    const auto left = std::chrono::duration_cast<milliseconds>(exchange.deadline - now);
+    request.headers.push_back({ "basildeck-timeout-ms", std::to_string(left.count()) });
+    if (!exchange.organisation.empty())
+        request.headers.push_back({ "basildeck-organisation", exchange.organisation });
+    request.contentLength = exchange.head.contentLength;
+    exchange.attempt = m_upstreams->open(target->address, std::move(request));
+    m_attempts[*exchange.attempt] = exchange.id;
+}
+
+// Frees the target's slot. A cancelled attempt is ended here; the others have ended by themselves.
+void RequestPipeline::endAttempt(Exchange &exchange, RunOutcome outcome, Time now)
+{
+    if (!exchange.attempt)
+        return;
+    const UpstreamClient::AttemptId attempt = *exchange.attempt;
+    exchange.attempt.reset();
+    m_attempts.erase(attempt);
+    m_upstreams->cancel(attempt);
+    m_crashes.finished(exchange.fingerprint);
+    if (outcome == RunOutcome::Cancelled || outcome == RunOutcome::Lost
+        || outcome == RunOutcome::Answered)
+        exchange.mayHaveRun = true;
+    m_services.at(exchange.service->name)
+            .pool.finished(exchange.target, outcome, now - exchange.attemptStarted, now);
+}
+
+void RequestPipeline::onHead(UpstreamClient::AttemptId id, const UpstreamHead &head)
+{
+    Exchange *exchange = findByAttempt(id);
+    if (exchange == nullptr)
+        return;
+    const Time now = Clock::now();
+    const std::string service = exchange->service->name;
+    if (head.status == 503 && head.notRun) {
+        endAttempt(*exchange, RunOutcome::Shed, now);
+        retryOrRefuse(*exchange, RetryReason::Shed, ErrorKind::TargetsShed, now);
+        pump(service, now);
+        return;
+    }
+    exchange->mayHaveRun = true;
+    if (!head.framed) {
+        endAttempt(*exchange, RunOutcome::Answered, now);
+        refuse(*exchange, ErrorKind::AnswerInvalid,
+               "the end of the upstream's answer is not marked");
+        pump(service, now);
+        return;
+    }
+    exchange->stage = Stage::Answering;
+    exchange->deadline = now + progressTimeout;
+    exchange->outcome.status = head.status;
+    exchange->outcome.bodyKept = true;
+    for (const HttpHeader &header : head.headers) {
+        if (header.name == "content-type")
+            exchange->outcome.contentType = header.value;
+    }
+    m_callers->startAnswer(exchange->id, head.status, head.headers, head.contentLength);
+}
+
+void RequestPipeline::onData(UpstreamClient::AttemptId id, std::string_view bytes)
+{
+    Exchange *exchange = findByAttempt(id);
+    if (exchange == nullptr)
+        return;
+    exchange->deadline = Clock::now() + progressTimeout;
+    ClaimOutcome &outcome = exchange->outcome;
+    if (outcome.bodyKept && exchange->claim) {
+        outcome.bodyKept = outcome.body.size() + bytes.size() <= ClaimBook::maxKeptBodyBytes;
+        if (outcome.bodyKept)
+            outcome.body.append(bytes);
+        else
+            outcome.body.clear();
+    }
+    m_callers->appendBody(exchange->id, bytes);
+    if (m_callers->buffered(exchange->id) > CallerServer::highWaterBytes) {
+        exchange->answerPaused = true;
+        m_upstreams->pause(id, true);
+    }
+}
+
+void RequestPipeline::onDrained(CallerServer::RequestId id)
+{
+    Exchange *exchange = find(id);
+    if (exchange == nullptr)
+        return;
+    exchange->deadline = std::max(exchange->deadline, Clock::now() + progressTimeout);
+    if (!exchange->answerPaused || !exchange->attempt)
+        return;
+    exchange->answerPaused = false;
+    m_upstreams->pause(*exchange->attempt, false);
+}
+
+void RequestPipeline::onEnd(UpstreamClient::AttemptId id, AttemptEnd end)
+{
+    Exchange *exchange = findByAttempt(id);
+    if (exchange == nullptr)
+        return;
+    const Time now = Clock::now();
+    const std::string service = exchange->service->name;
+    switch (end) {
+    case AttemptEnd::Whole: {
+        endAttempt(*exchange, RunOutcome::Answered, now);
+        m_crashes.answered(exchange->fingerprint);
+        finishClaim(*exchange);
+        m_metrics.noteLatency(exchange->route->name, now - exchange->arrived);
+        const CallerServer::RequestId request = exchange->id;
+        m_callers->finishAnswer(request);
+        erase(request);
+        break;
+    }
+    case AttemptEnd::ConnectFailed:
+        endAttempt(*exchange, RunOutcome::ConnectFailed, now);
+        retryOrRefuse(*exchange, RetryReason::ConnectFailed, ErrorKind::ConnectFailed, now);
+        break;
+    case AttemptEnd::Lost:
+        endAttempt(*exchange, RunOutcome::Lost, now);
+        noteCrash(*exchange, now);
+        if (exchange->stage == Stage::Answering)
+            cut(*exchange);
+        else
+            retryOrRefuse(*exchange, RetryReason::LostIdempotent, ErrorKind::UpstreamLost, now);
+        break;
+    }
+    pump(service, now);
+}
+
+void RequestPipeline::noteCrash(Exchange &exchange, Time now)
+{
+    const auto ran = std::chrono::duration_cast<milliseconds>(now - exchange.attemptStarted);
+    const CrashReport report{ exchange.fingerprint, exchange.target,
+                              static_cast<std::uint32_t>(ran.count()) };
+    if (m_crashes.note(report, now))
+        m_peer.post(FrontPayloadTo{ "", report });
+}
+
+bool RequestPipeline::canSendAgain(const Exchange &exchange, RetryReason reason, Time now) const
+{
+    if (exchange.attempts >= maxAttempts || exchange.bodyDiscarded || exchange.deadline <= now)
+        return false;
+    return reason != RetryReason::LostIdempotent || exchange.idempotent;
+}
+
+void RequestPipeline::retryOrRefuse(Exchange &exchange, RetryReason reason, ErrorKind otherwise,
+                                    Time now)
+{
+    exchange.triedTargets.insert(exchange.target);
+    if (!canSendAgain(exchange, reason, now) || !m_retries.take()) {
+        refuse(exchange, otherwise, "target \"" + exchange.target + "\" did not answer");
+        return;
+    }
+    m_metrics.countRetry(reason, exchange.route->name, exchange.organisation);
+    exchange.stage = Stage::Queue;
+    exchange.bodyTaken = 0;
+    const std::string &organisation
+            = exchange.organisation.empty() ? openOrganisation : exchange.organisation;
+    m_services.at(exchange.service->name)
+            .queue.pushFront(exchange.id, organisation, exchange.deadline);
+}
+
+// ---- Messages
+
+void RequestPipeline::setConfig(const ConfigInForce &config, Time now)
+{
+    if (config.version < m_config.version)
+        return;
+    m_config = config;
+    m_organisationByKey.clear();
+    m_retries.setPercent(config.config->defaults.retryPercent);
+    for (const Organisation &organisation : config.config->organisations) {
+        for (const std::string &hash : organisation.keyHashes)
+            m_organisationByKey[hash] = organisation.name;
+        auto &gate = m_gates[organisation.name];
+        const BudgetLimit limit{ organisation.rate, organisation.burst };
+        if (!gate)
+            gate = std::make_unique<RateGate>(limit,
+                                              stableHash(m_settings.vmName + organisation.name,
+                                                         std::to_string(m_processNumber)),
+                                              m_processStart);
+        gate->share().setLimit(limit, now);
+    }
+    for (const Service &service : config.config->services)
+        m_services.try_emplace(service.name,
+                               ServiceState{ TargetPool(m_settings.region, m_settings.zone), {} });
+    applyTargets(now);
+    applyFractions(now);
+
+    // Requests that wait lose their place if their key was withdrawn.
+    std::vector<CallerServer::RequestId> withdrawn;
+    for (const auto &[id, exchange] : m_exchanges) {
+        const bool waits = exchange->stage < Stage::Running && exchange->attempts == 0;
+        if (waits && !exchange->keyHash.empty() && !m_organisationByKey.contains(exchange->keyHash))
+            withdrawn.push_back(id);
+    }
+    for (const CallerServer::RequestId id : withdrawn) {
+        abandon(*find(id), now);
+        refuse(*find(id), ErrorKind::KeyUnknown, "the key was withdrawn");
+    }
+}
+
+void RequestPipeline::setMembers(const MemberList &members)
+{
+    m_members = members;
+}
+
+void RequestPipeline::setHolders(const HolderTable &table, Time now)
+{
+    m_holders.setTable(table);
+    applyFractions(now);
+    applyTargets(now);
+}
+
+void RequestPipeline::acknowledgeHolder(const HolderAcknowledged &acknowledged, Time now)
+{
+    m_holders.acknowledge(acknowledged.vm, acknowledged.version);
+    applyFractions(now);
+    applyTargets(now);
+}
+
+void RequestPipeline::applyFractions(Time now)
+{
+    std::vector<std::string> holders = m_holders.holders();
+    std::erase(holders, m_settings.vmName);
+    for (auto &[organisation, gate] : m_gates) {
+        gate->share().setFraction(m_holders.fraction(), now);
+        gate->share().setHolders(holders);
+    }
+}
+
+// Sets the slots that this VM may use: the smaller of its two parts while a change is under way.
+void RequestPipeline::applyTargets(Time now)
+{
+    if (!m_config.config)
+        return;
+    const HolderTable &table = m_holders.table();
+    const auto ownersOf = [&](const std::vector<std::string> &list) {
+        std::vector<SlotOwner> owners;
+        for (const std::string &vm : list) {
+            const auto region = table.regions.find(vm);
+            owners.push_back({ vm, region == table.regions.end() ? "" : region->second });
+        }
+        return owners;
+    };
+    const auto before = ownersOf(table.before);
+    const auto after = ownersOf(table.after);
+    const bool complete = m_holders.complete();
+    for (const Service &service : m_config.config->services) {
+        std::vector<TargetSpec> specs;
+        for (const Target &target : service.targets) {
+            const auto owned = [&](const std::vector<SlotOwner> &owners) {
+                return ownedSlots(m_settings.vmName, target.name, target.region,
+                                  service.slotsPerTarget, owners);
+            };
+            TargetSpec spec{ target.name, target.region, target.zone, owned(after), false };
+            if (!complete)
+                spec.slots = std::min(spec.slots, owned(before));
+            spec.closed = target.leaving || isDrained(*m_config.config, target.region);
+            specs.push_back(std::move(spec));
+        }
+        m_services.at(service.name).pool.setTargets(specs, now);
+        pump(service.name, now);
+    }
+}
+
+// Tells the others that this VM keeps to the table, once it does.
+void RequestPipeline::acknowledgeHolders(Time now)
+{
+    const std::uint64_t version = m_holders.table().version;
+    if (version == m_acknowledgedTable)
+        return;
+    for (auto &[organisation, gate] : m_gates) {
+        if (!gate->share().fitsFraction(now))
+            return;
+    }
+    for (const auto &[name, service] : m_services) {
+        if (!service.pool.fitsSlots())
+            return;
+    }
+    m_acknowledgedTable = version;
+    m_holders.acknowledgeOwn();
+    applyFractions(now);
+    applyTargets(now);
+}
+
+void RequestPipeline::onPayload(const FrontPayloadFrom &from, Time now)
+{
+    std::visit(
+            Overloaded{
+                    [&](const BudgetAskMessage &message) {
+                        const auto gate = m_gates.find(message.budget);
+                        if (gate == m_gates.end())
+                            return;
+                        m_peer.post(FrontPayloadTo{
+                                from.vm,
+                                BudgetGrantMessage{ message.budget,
+                                                    gate->second->share().answerAsk(
+                                                            from.vm, message.ask, now) } });
+                    },
+                    [&](const BudgetGrantMessage &message) {
+                        const auto gate = m_gates.find(message.budget);
+                        if (gate != m_gates.end())
+                            gate->second->share().acceptGrant(from.vm, message.grant, now);
+                    },
+                    [&](const CrashReport &report) { m_crashes.note(report, now); },
+                    [&](const ClaimDecision &decision) { onClaimDecision(from.vm, decision, now); },
+            },
+            from.payload);
+}
+
+void RequestPipeline::sendAsks(Time now)
+{
+    for (auto &[organisation, gate] : m_gates) {
+        for (BudgetShare::AskTo &ask : gate->share().planAsks(gate->waiting(), now))
+            m_peer.post(FrontPayloadTo{ ask.holder,
+                                        BudgetAskMessage{ organisation, std::move(ask.ask) } });
+    }
+}
+
+std::uint32_t RequestPipeline::loadPermille() const
+{
+    int inFlight = 0;
+    int slots = 0;
+    for (const auto &[name, service] : m_services) {
+        inFlight += service.pool.inFlight() + static_cast<int>(service.queue.size());
+        slots += service.pool.slots();
+    }
+    if (slots == 0)
+        return 0;
+    return static_cast<std::uint32_t>(std::min(1000, 1000 * inFlight / slots));
+}
+
+void RequestPipeline::tick(Time now)
+{
+    for (auto &[organisation, gate] : m_gates) {
+        for (const RateGate::Decision &decision : gate->poll(now)) {
+            Exchange *exchange = find(decision.id);
+            if (exchange == nullptr)
+                continue;
+            if (decision.verdict == RateGate::Verdict::Admitted)
+                onAdmitted(*exchange, now);
+            else
+                refuse(*exchange, ErrorKind::OverRate,
+                       "organisation \"" + organisation + "\" is over its rate");
+        }
+    }
+    sendAsks(now);
+    resendFinishes(now);
+    std::vector<CallerServer::RequestId> late;
+    for (const auto &[id, exchange] : m_exchanges) {
+        if (exchange->deadline <= now)
+            late.push_back(id);
+        else if (exchange->stage == Stage::Claim && now - exchange->claimSent > claimResend)
+            sendClaim(*exchange, now);
+    }
+    for (const CallerServer::RequestId id : late) {
+        if (Exchange *exchange = find(id))
+            onDeadline(*exchange, now);
+    }
+    for (auto &[name, service] : m_services)
+        pump(name, now);
+    acknowledgeHolders(now);
+    if (now - m_lastReport >= reportInterval) {
+        m_lastReport = now;
+        m_peer.post(FrontReport{ loadPermille(), m_acknowledgedTable });
+    }
+}
+
+// ---- Status
+
+bool RequestPipeline::ready(Time now) const
+{
+    return m_config.config && !m_refusing && m_holders.table().version != 0
+           && now - m_processStart > BudgetShare::startGuard;
+}
+
+json RequestPipeline::status(Time now)
+{
+    json budgets = json::object();
+    for (auto &[organisation, gate] : m_gates)
+        budgets[organisation] = {
+            { "rate", gate->share().limit().rate },   { "burst", gate->share().limit().burst },
+            { "fraction", gate->share().fraction() }, { "tokens", gate->share().available(now) },
+            { "lent", gate->share().lent() },         { "waiting", gate->waiting() }
+        };
+    json services = json::object();
+    for (const auto &[name, service] : m_services) {
+        json targets = json::array();
+        for (const TargetPool::View &view : service.pool.views(now))
+            targets.push_back({ { "name", view.name },
+                                { "inFlight", view.inFlight },
+                                { "slots", view.slots },
+                                { "closed", view.closed },
+                                { "ejected", view.ejected } });
+        services[name] = { { "waiting", service.queue.size() }, { "targets", targets } };
+    }
+    const auto serveLeft = std::chrono::duration_cast<milliseconds>(m_serveUntil - now).count();
+    return { { "configVersion", m_config.version },
+             { "ready", ready(now) },
+             { "holderTable",
+               { { "version", m_holders.table().version },
+                 { "acknowledged", m_acknowledgedTable },
+                 { "complete", m_holders.complete() },
+                 { "holders", m_holders.holders() } } },
+             { "keysServedForMs", std::max<long>(0, serveLeft) },
+             { "openRequests", m_exchanges.size() },
+             { "quarantined", m_crashes.quarantined() },
+             { "budgets", budgets },
+             { "services", services } };
+}
+
+json RequestPipeline::explain(const std::string &method, const std::string &host,
+                              const std::string &path, const std::string &key)
+{
+    if (!m_config.config)
+        return { { "step", "configuration" }, { "refusal", "no-configuration" } };
+    const Route *route = findRoute(*m_config.config, host, path);
+    if (route == nullptr)
+        return { { "step", "route" }, { "refusal", "unknown-route" } };
+    Exchange probe;
+    probe.config = m_config.config;
+    probe.route = route;
+    probe.head.key = key;
+    json result = { { "route", route->name },
+                    { "service", route->service },
+                    { "idempotent", isIdempotent(*route, method) },
+                    { "timeoutMs", route->timeoutMs } };
+    const Time now = Clock::now();
+    if (const auto checked = checkKey(probe, now); !checked) {
+        result["step"] = "key";
+        result["refusal"] = errorAnswer(checked.error().kind).name;
+        result["detail"] = checked.error().detail;
+        return result;
+    }
+    result["organisation"] = probe.organisation;
+    const auto gate = m_gates.find(probe.organisation);
+    if (gate != m_gates.end())
+        result["tokensHere"] = gate->second->share().available(now);
+    const auto target = m_services.at(route->service).pool.choose({}, now);
+    result["nextTarget"] = target ? json(*target) : json();
+    return result;
+}
+
+} // namespace basildeck
--- /dev/null
+++ b/src/http/RequestPipeline.h
@@ -0,0 +1,156 @@
+#pragma once
+
+#include "config/Settings.h"
+#include "core/Mailbox.h"
+#include "core/Messages.h"
+#include "core/Metrics.h"
+#include "decide/CrashList.h"
+#include "decide/FairQueue.h"
+#include "decide/HolderTable.h"
+#include "decide/RateGate.h"
+#include "decide/RetryBudget.h"
+#include "decide/TargetPool.h"
+#include "http/Exchange.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace basildeck {
+
+// Takes each request of a caller through its stages: rate, body, claim, queue, run, answer. It owns
+// what this VM knows of organisations, targets and budgets, and no socket.
+class RequestPipeline
+{
+public:
+    // Bodies up to this size are read whole before the request takes a slot.
+    static constexpr std::size_t replayBytes = 64 * 1024;
+    static constexpr int maxAttempts = 3;
+    static constexpr Duration progressTimeout = seconds(30);
+    static constexpr Duration claimResend = milliseconds(400);
+    static constexpr Duration claimTimeout = milliseconds(2000);
+    static constexpr Duration claimMemory = seconds(60);
+
+    RequestPipeline(const Settings &settings, Mailbox<PeerMessage> &peer, Metrics &metrics,
+                    Time processStart, std::uint64_t processNumber);
+    ~RequestPipeline();
+
+    // Names the sockets' owners. Called before the first event.
+    void connect(CallerServer &callers, UpstreamClient &upstreams);
+
+    // Events of the callers' listener.
+    void onRequest(CallerServer::RequestId id, Result<RequestHead> head);
+    void onBody(CallerServer::RequestId id, std::string_view bytes);
+    void onBodyEnd(CallerServer::RequestId id);
+    void onDrained(CallerServer::RequestId id);
+    void onGone(CallerServer::RequestId id);
+
+    // Events of the upstream client.
+    UpstreamClient::BodyPart takeBody(UpstreamClient::AttemptId id, std::size_t maxBytes);
+    void onHead(UpstreamClient::AttemptId id, const UpstreamHead &head);
+    void onData(UpstreamClient::AttemptId id, std::string_view bytes);
+    void onEnd(UpstreamClient::AttemptId id, AttemptEnd end);
+
+    // Messages of the other tasks.
+    void setConfig(const ConfigInForce &config, Time now);
+    void setMembers(const MemberList &members);
+    void setHolders(const HolderTable &table, Time now);
+    void acknowledgeHolder(const HolderAcknowledged &acknowledged, Time now);
+    void setServeUntil(Time until) { m_serveUntil = until; }
+    void onPayload(const FrontPayloadFrom &from, Time now);
+    void refuseNewRequests() { m_refusing = true; }
+
+    void tick(Time now);
+
+    std::size_t openRequests() const { return m_exchanges.size(); }
+    bool ready(Time now) const;
+    std::uint64_t configVersion() const { return m_config.version; }
+    // What this VM believes, for the status page.
+    nlohmann::json status(Time now);
+    // Where a request would go, for explanations.
+    nlohmann::json explain(const std::string &method, const std::string &host,
+                           const std::string &path, const std::string &key);
+
+private:
+    struct ServiceState
+    {
+        TargetPool pool;
+        FairQueue queue;
+    };
+
+    Exchange *find(CallerServer::RequestId id);
+    Exchange *findByAttempt(UpstreamClient::AttemptId id);
+    // The checks that need no waiting. The error refuses the request.
+    Result<void> check(Exchange &exchange, Time now);
+    Result<void> checkKey(Exchange &exchange, Time now);
+    bool carriesKey(const RequestHead &head) const;
+
+    void startRate(Exchange &exchange, Time now);
+    void onAdmitted(Exchange &exchange, Time now);
+    void continueWithBody(Exchange &exchange, Time now);
+    void startClaim(Exchange &exchange, Time now);
+    void sendClaim(Exchange &exchange, Time now);
+    void onClaimDecision(const std::string &owner, const ClaimDecision &decision, Time now);
+    void replay(Exchange &exchange, const ClaimOutcome &outcome);
+    void startQueue(Exchange &exchange, Time now);
+    void pump(const std::string &service, Time now);
+    void dispatch(Exchange &exchange, const std::string &target, Time now);
+    void endAttempt(Exchange &exchange, RunOutcome outcome, Time now);
+    void retryOrRefuse(Exchange &exchange, RetryReason reason, ErrorKind otherwise, Time now);
+    bool canSendAgain(const Exchange &exchange, RetryReason reason, Time now) const;
+    void noteCrash(Exchange &exchange, Time now);
+    void refuse(Exchange &exchange, ErrorKind kind, const std::string &detail);
+    void cut(Exchange &exchange);
+    void finishClaim(Exchange &exchange);
+    void resendFinishes(Time now);
+    void abandon(Exchange &exchange, Time now);
+    void erase(CallerServer::RequestId id);
+    void onDeadline(Exchange &exchange, Time now);
+
+    void applyFractions(Time now);
+    void applyTargets(Time now);
+    void acknowledgeHolders(Time now);
+    void sendAsks(Time now);
+    std::string claimOwner(const std::string &key) const;
+    std::uint32_t loadPermille() const;
+
+    Settings m_settings;
+    Mailbox<PeerMessage> &m_peer;
+    Metrics &m_metrics;
+    CallerServer *m_callers = nullptr;
+    UpstreamClient *m_upstreams = nullptr;
+    Time m_processStart;
+    std::uint64_t m_processNumber;
+
+    ConfigInForce m_config;
+    std::unordered_map<std::string, std::string> m_organisationByKey; // by key hash
+    MemberList m_members;
+    HolderView m_holders;
+    std::uint64_t m_acknowledgedTable = 0;
+    Time m_serveUntil;
+    bool m_refusing = false;
+    Time m_lastReport;
+
+    std::map<std::string, std::unique_ptr<RateGate>> m_gates; // by organisation
+    std::map<std::string, ServiceState> m_services;
+    RetryBudget m_retries;
+    CrashList m_crashes;
+    std::unordered_map<CallerServer::RequestId, std::unique_ptr<Exchange>> m_exchanges;
+    std::unordered_map<UpstreamClient::AttemptId, CallerServer::RequestId> m_attempts;
+
+    // Outcomes whose record is not yet confirmed, and requests that ended while their claim was
+    // being decided. Both by request.
+    struct Unconfirmed
+    {
+        ClaimFinish finish;
+        Time first;
+        Time sent;
+    };
+    std::map<CallerServer::RequestId, Unconfirmed> m_unconfirmed;
+    std::map<CallerServer::RequestId, Time> m_endedUndecided;
+};
+
+} // namespace basildeck
--- /dev/null
+++ b/src/http/UpstreamClient.cpp
@@ -0,0 +1,278 @@
+#include "http/UpstreamClient.h"
+
+#include "http/LwsLoop.h"
+#include "http/LwsWire.h"
+#include "http/RequestHead.h"
+
+#include <libwebsockets.h>
+
+#include <array>
+#include <charconv>
+
+namespace basildeck {
+
+struct UpstreamClient::Attempt
+{
+    UpstreamClient *client = nullptr;
+    AttemptId id = 0;
+    UpstreamRequest request;
+    lws *connection = nullptr;
+    bool sent = false; // a byte of the request may have reached the upstream
+    bool bodyDone = false;
+    bool headSeen = false;
+    bool completed = false;
+    std::optional<std::size_t> remaining; // bytes of the answer that are still to come
+};
+
+namespace {
+
+constexpr std::size_t readBytes = 64 * 1024;
+constexpr std::size_t writeBytes = 64 * 1024;
+
+} // namespace
+
+std::unique_ptr<UpstreamClient> UpstreamClient::make(LwsLoop &loop, Events events)
+{
+    std::unique_ptr<UpstreamClient> client(new UpstreamClient(loop, std::move(events)));
+    client->m_protocols = std::make_unique<lws_protocols[]>(2);
+    lws_protocols &protocol = client->m_protocols[0];
+    protocol.name = "upstream";
+    protocol.callback
+            = [](lws *connection, lws_callback_reasons reason, void *user, void *in,
+                 std::size_t length) { return callback(connection, reason, user, in, length); };
+    protocol.user = client.get();
+    lws_context_creation_info info{};
+    info.port = CONTEXT_PORT_NO_LISTEN;
+    info.protocols = client->m_protocols.get();
+    info.vhost_name = "upstream";
+    client->m_vhost = lws_create_vhost(loop.context(), &info);
+    if (client->m_vhost == nullptr)
+        return nullptr;
+    return client;
+}
+
+UpstreamClient::UpstreamClient(LwsLoop &loop, Events events)
+    : m_loop(loop)
+    , m_events(std::move(events))
+{}
+
+UpstreamClient::~UpstreamClient() = default;
+
+UpstreamClient::AttemptId UpstreamClient::open(const Address &address, UpstreamRequest request)
+{
+    auto owned = std::make_unique<Attempt>();
+    Attempt &attempt = *owned;
+    attempt.client = this;
+    attempt.id = m_nextId++;
+    attempt.request = std::move(request);
+    attempt.bodyDone = attempt.request.contentLength.value_or(0) == 0;
+    const AttemptId id = attempt.id;
+    m_attempts.emplace(id, std::move(owned));
+
+    lws_client_connect_info info{};
+    info.context = m_loop.context();
+    info.vhost = m_vhost;
+    info.address = address.ip.c_str();
+    info.port = address.port;
+    info.path = attempt.request.target.c_str();
+    info.host = attempt.request.host.c_str();
+    info.method = attempt.request.method.c_str();
+    info.local_protocol_name = "upstream";
+    info.ssl_connection = LCCSCF_HTTP_NO_FOLLOW_REDIRECT;
+    info.opaque_user_data = &attempt;
+    info.pwsi = &attempt.connection;
+    if (lws_client_connect_via_info(&info) == nullptr && m_attempts.contains(id))
+        m_failed.push_back(id);
+    return id;
+}
+
+void UpstreamClient::reportFailed()
+{
+    for (const AttemptId id : std::exchange(m_failed, {}))
+        finish(id, AttemptEnd::ConnectFailed);
+}
+
+void UpstreamClient::bodyReady(AttemptId id)
+{
+    const auto found = m_attempts.find(id);
+    if (found != m_attempts.end() && found->second->sent && found->second->connection != nullptr)
+        lws_callback_on_writable(found->second->connection);
+}
+
+void UpstreamClient::pause(AttemptId id, bool paused)
+{
+    const auto found = m_attempts.find(id);
+    if (found != m_attempts.end() && found->second->connection != nullptr)
+        lws_rx_flow_control(found->second->connection, paused ? 0 : 1);
+}
+
+void UpstreamClient::cancel(AttemptId id)
+{
+    const auto found = m_attempts.find(id);
+    if (found == m_attempts.end())
+        return;
+    lws *connection = found->second->connection;
+    m_attempts.erase(found);
+    if (connection == nullptr)
+        return;
+    lws_set_opaque_user_data(connection, nullptr);
+    lws_set_timeout(connection, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+}
+
+void UpstreamClient::finish(AttemptId id, AttemptEnd end)
+{
+    if (m_attempts.erase(id) > 0)
+        m_events.onEnd(id, end);
+}
+
+int UpstreamClient::callback(lws *connection, int reason, void *user, void *in, std::size_t length)
+{
+    auto *attempt = connection == nullptr
+                            ? nullptr
+                            : static_cast<Attempt *>(lws_get_opaque_user_data(connection));
+    if (attempt != nullptr)
+        return attempt->client->dispatch(connection, *attempt, reason, in, length);
+    const bool cancelled = reason == LWS_CALLBACK_RECEIVE_CLIENT_HTTP
+                           || reason == LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER
+                           || reason == LWS_CALLBACK_CLIENT_HTTP_WRITEABLE;
+    if (cancelled)
+        return -1;
+    return lws_callback_http_dummy(connection, static_cast<lws_callback_reasons>(reason), user, in,
+                                   length);
+}
+
+int UpstreamClient::dispatch(lws *connection, Attempt &attempt, int reason, void *in,
+                             std::size_t length)
+{
+    switch (reason) {
+    case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER:
+        attempt.sent = true;
+        return appendHeaders(connection, attempt, in, length);
+    case LWS_CALLBACK_CLIENT_HTTP_WRITEABLE:
+        return writeBody(connection, attempt);
+    case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP:
+        return onHead(connection, attempt);
+    case LWS_CALLBACK_RECEIVE_CLIENT_HTTP:
+        return onReadable(connection, attempt);
+    case LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ:
+        if (attempt.remaining && length > *attempt.remaining)
+            return -1;
+        if (attempt.remaining)
+            *attempt.remaining -= length;
+        m_events.onData(attempt.id, { static_cast<const char *>(in), length });
+        return 0;
+    case LWS_CALLBACK_COMPLETED_CLIENT_HTTP:
+        attempt.completed = true;
+        return 0;
+    case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
+    case LWS_CALLBACK_CLOSED_CLIENT_HTTP: {
+        lws_set_opaque_user_data(connection, nullptr);
+        finish(attempt.id, attempt.sent ? AttemptEnd::Lost : AttemptEnd::ConnectFailed);
+        return 0;
+    }
+    default:
+        return 0;
+    }
+}
+
+int UpstreamClient::appendHeaders(lws *connection, Attempt &attempt, void *in, std::size_t length)
+{
+    auto **at = static_cast<unsigned char **>(in);
+    unsigned char *end = *at + length;
+    const auto add = [&](const std::string &name, const std::string &value) {
+        const std::string withColon = name + ":";
+        return lws_add_http_header_by_name(
+                       connection, reinterpret_cast<const unsigned char *>(withColon.c_str()),
+                       reinterpret_cast<const unsigned char *>(value.data()),
+                       static_cast<int>(value.size()), at, end)
+               == 0;
+    };
+    bool added = add("connection", "close");
+    for (const HttpHeader &header : attempt.request.headers)
+        added = added && add(header.name, header.value);
+    if (attempt.request.contentLength)
+        added = added && add("content-length", std::to_string(*attempt.request.contentLength));
+    if (!attempt.bodyDone) {
+        lws_client_http_body_pending(connection, 1);
+        lws_callback_on_writable(connection);
+    }
+    return added ? 0 : -1;
+}
+
+int UpstreamClient::writeBody(lws *connection, Attempt &attempt)
+{
+    if (attempt.bodyDone)
+        return 0;
+    const BodyPart part = m_events.takeBody(attempt.id, writeBytes);
+    if (part.bytes.empty() && !part.last)
+        return 0;
+    std::string buffer(LWS_PRE, '\0');
+    buffer.append(part.bytes);
+    if (part.last) {
+        attempt.bodyDone = true;
+        lws_client_http_body_pending(connection, 0);
+    }
+    if (lws_write(connection, reinterpret_cast<unsigned char *>(buffer.data()) + LWS_PRE,
+                  part.bytes.size(), part.last ? LWS_WRITE_HTTP_FINAL : LWS_WRITE_HTTP)
+        < 0)
+        return -1;
+    if (!part.last)
+        lws_callback_on_writable(connection);
+    return 0;
+}
+
+int UpstreamClient::onHead(lws *connection, Attempt &attempt)
+{
+    UpstreamHead head;
+    head.status = static_cast<int>(lws_http_client_http_response(connection));
+    head.headers = readAnswerHeaders(connection);
+    const auto length = wire::tokenHeader(connection, WSI_TOKEN_HTTP_CONTENT_LENGTH);
+    const auto encoding = wire::tokenHeader(connection, WSI_TOKEN_HTTP_TRANSFER_ENCODING);
+    if (length) {
+        std::size_t value = 0;
+        const auto [stop, error]
+                = std::from_chars(length->data(), length->data() + length->size(), value);
+        if (error == std::errc() && stop == length->data() + length->size())
+            head.contentLength = value;
+    }
+    head.bodyless = attempt.request.method == "HEAD" || head.status == 204 || head.status == 304;
+    head.framed
+            = head.bodyless
+              || (encoding ? *encoding == "chunked" && !length : head.contentLength.has_value());
+    head.notRun = wire::namedHeader(connection, "basildeck-run").value_or("") == "not-run";
+    attempt.headSeen = true;
+    if (!head.bodyless)
+        attempt.remaining = head.contentLength;
+    const AttemptId id = attempt.id;
+    m_events.onHead(id, head);
+    if (!m_attempts.contains(id))
+        return -1;
+    if (!head.bodyless && attempt.remaining.value_or(1) != 0)
+        return 0;
+    lws_set_opaque_user_data(connection, nullptr);
+    finish(id, AttemptEnd::Whole);
+    return -1;
+}
+
+// COMPLETED alone does not prove that an answer is whole: the library also reports it when a
+// chunked answer is cut. Only a read that reports it and succeeds does.
+int UpstreamClient::onReadable(lws *connection, Attempt &attempt)
+{
+    static thread_local std::array<char, LWS_PRE + readBytes> buffer;
+    char *at = buffer.data() + LWS_PRE;
+    int length = static_cast<int>(readBytes);
+    const AttemptId id = attempt.id;
+    const int result = lws_http_client_read(connection, &at, &length);
+    if (!m_attempts.contains(id))
+        return -1;
+    const bool lengthReached = attempt.remaining && *attempt.remaining == 0;
+    const bool chunksEnded = !attempt.remaining && attempt.completed && result >= 0;
+    if (lengthReached || chunksEnded) {
+        lws_set_opaque_user_data(connection, nullptr);
+        finish(id, AttemptEnd::Whole);
+        return -1;
+    }
+    return result < 0 || attempt.completed ? -1 : 0;
+}
+
+} // namespace basildeck
--- /dev/null
+++ b/src/peer/Packet.cpp
@@ -0,0 +1,207 @@
+#include "peer/Packet.h"
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/map.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
+
+#include <sstream>
+
+namespace basildeck {
+
+template <typename Archive>
+void serialize(Archive &archive, Address &address)
+{
+    archive(address.ip, address.port);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, Member &member)
+{
+    archive(member.vm, member.incarnation, member.state, member.region, member.zone, member.caller,
+            member.peer, member.loadPermille);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, PacketHeader &header)
+{
+    archive(header.vm, header.incarnation, header.configVersion, header.holderVersion,
+            header.holderAcknowledged, header.loadPermille, header.storeReachedAgeMs,
+            header.storeDownAgeMs);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, Ping &ping)
+{
+    archive(ping.sequence);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, Ack &ack)
+{
+    archive(ack.sequence);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, PingRequest &request)
+{
+    archive(request.sequence, request.target);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, IndirectAck &ack)
+{
+    archive(ack.sequence, ack.target);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, BudgetAsk &ask)
+{
+    archive(ask.nonce, ask.amount, ask.settled);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, BudgetGrant &grant)
+{
+    archive(grant.nonce, grant.amount, grant.spare);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, BudgetAskMessage &message)
+{
+    archive(message.budget, message.ask);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, BudgetGrantMessage &message)
+{
+    archive(message.budget, message.grant);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, CrashReport &report)
+{
+    archive(report.fingerprint, report.target, report.ranForMs);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, ClaimId &id)
+{
+    archive(id.vm, id.incarnation, id.sequence);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, ClaimOutcome &outcome)
+{
+    archive(outcome.status, outcome.contentType, outcome.body, outcome.bodyKept);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, ClaimBegin &claim)
+{
+    archive(claim.id, claim.key, claim.fingerprint, claim.retentionSeconds);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, ClaimFinish &claim)
+{
+    archive(claim.id, claim.key, claim.outcome);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, ClaimRelease &claim)
+{
+    archive(claim.id, claim.key);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, ClaimDecision &decision)
+{
+    archive(decision.id, decision.key, decision.verdict, decision.outcome);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, HolderTable &table)
+{
+    archive(table.version, table.before, table.after, table.gone, table.regions);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, Packet &packet)
+{
+    archive(packet.header, packet.updates, packet.body);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, SyncRequest &request)
+{
+    archive(request.configVersion, request.wantsMembers);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, SyncAnswer &answer)
+{
+    archive(answer.configVersion, answer.isPatch, answer.baseVersion, answer.config, answer.holders,
+            answer.members, answer.crashes);
+}
+
+namespace {
+
+template <typename Message>
+std::string encode(const Message &message)
+{
+    std::ostringstream stream;
+    cereal::PortableBinaryOutputArchive archive(stream);
+    archive(message);
+    return stream.str();
+}
+
+// Bytes of other programs are refused: the archive throws on them, also when a length is absurd.
+template <typename Message>
+std::optional<Message> decode(std::string_view bytes)
+{
+    try {
+        std::istringstream stream{ std::string(bytes) };
+        cereal::PortableBinaryInputArchive archive(stream);
+        Message message;
+        archive(message);
+        return message;
+    } catch (const std::exception &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace
+
+std::string encodePacket(const Packet &packet)
+{
+    return encode(packet);
+}
+
+std::optional<Packet> decodePacket(std::string_view bytes)
+{
+    return decode<Packet>(bytes);
+}
+
+std::string encodeSyncRequest(const SyncRequest &request)
+{
+    return encode(request);
+}
+
+std::optional<SyncRequest> decodeSyncRequest(std::string_view bytes)
+{
+    return decode<SyncRequest>(bytes);
+}
+
+std::string encodeSyncAnswer(const SyncAnswer &answer)
+{
+    return encode(answer);
+}
+
+std::optional<SyncAnswer> decodeSyncAnswer(std::string_view bytes)
+{
+    return decode<SyncAnswer>(bytes);
+}
+
+} // namespace basildeck
--- /dev/null
+++ b/src/store/StoreTask.cpp
@@ -0,0 +1,300 @@
+#include "store/StoreTask.h"
+
+#include "core/Log.h"
+#include "http/LwsLoop.h"
+#include "store/StoreClient.h"
+
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+
+namespace basildeck {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr const char *part = "store";
+constexpr const char *fleetKind = "fleet";
+constexpr const char *configName = "config";
+constexpr const char *holdersName = "holders";
+constexpr const char *claimsKind = "claims";
+constexpr microseconds tickPeriod{ 10'000 };
+// Each answer of a watch, also an empty one, is evidence that the store is reached.
+constexpr milliseconds watchWait{ 800 };
+constexpr Duration watchRetry = milliseconds(300);
+constexpr Duration vmListInterval = milliseconds(1000);
+constexpr std::size_t maxHolders = 7;
+
+std::int64_t unixSeconds()
+{
+    return std::chrono::system_clock::to_time_t(std::chrono::system_clock::now());
+}
+
+} // namespace
+
+std::string encodeHolderTable(const HolderTable &table)
+{
+    return json({ { "before", table.before },
+                  { "after", table.after },
+                  { "gone", table.gone },
+                  { "regions", table.regions } })
+            .dump();
+}
+
+HolderTable decodeHolderTable(const std::string &value, std::uint64_t version)
+{
+    const json document = json::parse(value, nullptr, false);
+    HolderTable table;
+    if (!document.is_object())
+        return table;
+    try {
+        table.before = document.at("before").get<std::vector<std::string>>();
+        table.after = document.at("after").get<std::vector<std::string>>();
+        table.gone = document.at("gone").get<std::vector<std::string>>();
+        table.regions = document.at("regions").get<std::map<std::string, std::string>>();
+    } catch (const json::exception &error) {
+        BASILDECK_ERROR(part) << "table of holders, version " << version
+                              << " refused: " << error.what();
+        return {};
+    }
+    table.version = version;
+    return table;
+}
+
+std::unique_ptr<StoreTask> StoreTask::make(const Settings &settings)
+{
+    std::unique_ptr<StoreTask> task(new StoreTask(settings));
+    task->m_loop = LwsLoop::make({ .tick = tickPeriod });
+    if (!task->m_loop)
+        return nullptr;
+    task->m_client = StoreClient::make(*task->m_loop, settings.storeAddresses);
+    if (!task->m_client)
+        return nullptr;
+    StoreTask *self = task.get();
+    task->m_loop->setOnWake([self] { self->onWake(); });
+    task->m_loop->setOnTick([self] { self->onTick(); });
+    task->m_mailbox.setWake([self] { self->m_loop->wake(); });
+    return task;
+}
+
+StoreTask::StoreTask(const Settings &settings)
+    : m_settings(settings)
+{}
+
+StoreTask::~StoreTask() = default;
+
+void StoreTask::run()
+{
+    m_loop->run();
+}
+
+void StoreTask::stop()
+{
+    m_loop->stop();
+}
+
+void StoreTask::onWake()
+{
+    const Time now = Clock::now();
+    for (StoreMessage &message : m_mailbox.takeAll())
+        handle(std::move(message), now);
+    commitClaims(now);
+}
+
+void StoreTask::onTick()
+{
+    const Time now = Clock::now();
+    m_client->expire(now);
+    watch(now);
+    proposeHolders(now);
+    commitClaims(now);
+    m_figures.calls = m_client->calls();
+}
+
+void StoreTask::handle(StoreMessage message, Time now)
+{
+    std::visit(Overloaded{
+                       [&](RelayRoles &roles) { m_roles = std::move(roles); },
+                       [&](StorePayloadFrom &from) {
+                           std::visit(Overloaded{
+                                              [&](const ClaimBegin &claim) {
+                                                  m_claims.begin(from.vm, claim, now);
+                                              },
+                                              [&](const ClaimFinish &claim) {
+                                                  m_claims.finish(from.vm, claim);
+                                              },
+                                              [&](const ClaimRelease &claim) {
+                                                  m_claims.release(claim, now);
+                                              },
+                                      },
+                                      from.payload);
+                       },
+                       [&](ConfigDocument &document) {
+                           m_configVersion = std::max(m_configVersion, document.version);
+                       },
+                       [&](LeaveRequested &) {},
+               },
+               message);
+}
+
+void StoreTask::noteResult(bool reached)
+{
+    if (reached) {
+        m_peer->post(StoreReached{});
+        return;
+    }
+    ++m_figures.failures;
+    m_peer->post(StoreFailed{});
+}
+
+// A new process watches once by itself, and then only if it is its zone's watcher.
+void StoreTask::watch(Time now)
+{
+    const bool wanted = m_roles.watches || !m_firstReadDone;
+    if (!wanted || m_watchOpen || now < m_nextWatch)
+        return;
+    m_watchOpen = true;
+    const milliseconds wait = m_firstReadDone ? watchWait : milliseconds(0);
+    m_client->watch(fleetKind, m_seenVersion, wait,
+                    [this](Result<StoreChanges> changes) { onChanges(std::move(changes)); });
+}
+
+void StoreTask::onChanges(Result<StoreChanges> changes)
+{
+    m_watchOpen = false;
+    if (!changes) {
+        m_nextWatch = Clock::now() + watchRetry;
+        noteResult(false);
+        return;
+    }
+    m_firstReadDone = true;
+    for (const StoredValue &object : changes.value().objects)
+        onObject(object);
+    // A store that was restored to an older state must not hide later changes.
+    m_seenVersion = changes.value().version;
+    noteResult(true);
+}
+
+void StoreTask::onObject(const StoredValue &object)
+{
+    if (object.name == configName && object.version > m_configVersion) {
+        m_configVersion = object.version;
+        m_peer->post(ConfigDocument{ object.version,
+                                     std::make_shared<const std::string>(object.value) });
+    }
+    if (object.name == holdersName && object.version > m_holders.version) {
+        m_holders = decodeHolderTable(object.value, object.version);
+        m_peer->post(HolderTableChanged{ m_holders });
+    }
+}
+
+void StoreTask::proposeHolders(Time now)
+{
+    if (!m_roles.proposes || m_vmsOpen || m_holderWriteOpen || now < m_nextVmList)
+        return;
+    m_vmsOpen = true;
+    m_nextVmList = now + vmListInterval;
+    m_client->listVms([this](Result<std::vector<ListedVm>> vms) { onVms(std::move(vms)); });
+}
+
+void StoreTask::onVms(Result<std::vector<ListedVm>> vms)
+{
+    m_vmsOpen = false;
+    if (!vms) {
+        noteResult(false);
+        return;
+    }
+    m_gone.clear();
+    m_listedLeaving.clear();
+    for (const ListedVm &vm : vms.value()) {
+        if (vm.state == "gone")
+            m_gone.insert(vm.name);
+        if (vm.state == "leaving")
+            m_listedLeaving.insert(vm.name);
+    }
+    m_peer->post(VmListChanged{ m_listedLeaving, m_gone });
+    const std::set<std::string> live(m_roles.live.begin(), m_roles.live.end());
+    std::set<std::string> leaving = m_listedLeaving;
+    leaving.insert(m_roles.leaving.begin(), m_roles.leaving.end());
+    const auto desired = desiredHolders(m_holders.after, live, leaving, m_gone, maxHolders);
+    const bool shrinkingGone = std::any_of(
+            m_holders.before.begin(), m_holders.before.end(), [&](const std::string &vm) {
+                const auto &listed = m_holders.gone;
+                return m_gone.contains(vm)
+                       && std::find(listed.begin(), listed.end(), vm) == listed.end();
+            });
+    const bool changes = desired != m_holders.after;
+    if (desired.empty())
+        return;
+    // While a change is open, only the news that a VM is gone may be added to it.
+    if ((m_roles.tableComplete && changes) || (!m_roles.tableComplete && shrinkingGone))
+        writeHolders(m_roles.tableComplete ? desired : m_holders.after);
+}
+
+void StoreTask::writeHolders(const std::vector<std::string> &desired)
+{
+    HolderTable table;
+    table.before = m_roles.tableComplete ? m_holders.after : m_holders.before;
+    table.after = desired;
+    table.gone.assign(m_gone.begin(), m_gone.end());
+    table.regions = m_holders.regions;
+    for (const auto &[vm, region] : m_roles.regions)
+        table.regions[vm] = region;
+    m_holderWriteOpen = true;
+    m_client->write(
+            fleetKind, holdersName, m_holders.version, encodeHolderTable(table),
+            [this, table](Result<std::uint64_t> result) { onHoldersWritten(result, table); });
+}
+
+// After a conflict or a lost answer the object is read again, and the next round decides anew.
+void StoreTask::onHoldersWritten(const Result<std::uint64_t> &result, HolderTable table)
+{
+    m_holderWriteOpen = false;
+    if (result) {
+        table.version = result.value();
+        m_holders = table;
+        m_peer->post(HolderTableChanged{ m_holders });
+        return;
+    }
+    m_client->read(fleetKind, holdersName, [this](Result<StoredValue> value) {
+        if (value)
+            onObject(value.value());
+    });
+}
+
+void StoreTask::commitClaims(Time now)
+{
+    for (ClaimBook::StoreCall &call : m_claims.dueCalls(now, unixSeconds())) {
+        const int bucket = call.bucket;
+        const std::string name = ClaimBook::bucketName(bucket);
+        if (!call.isWrite) {
+            m_client->read(claimsKind, name, [this, bucket](Result<StoredValue> value) {
+                const Time at = Clock::now();
+                if (value)
+                    m_claims.readDone(bucket, value.value().version, value.value().value, at);
+                else
+                    m_claims.callFailed(bucket, at);
+            });
+            continue;
+        }
+        ++m_figures.claimWrites;
+        m_client->write(claimsKind, name, call.expectedVersion, call.value,
+                        [this, bucket](Result<std::uint64_t> version) {
+                            const Time at = Clock::now();
+                            if (version) {
+                                m_claims.writeDone(bucket, version.value(), at);
+                            } else if (version.error().kind == ErrorKind::EditConflict) {
+                                ++m_figures.claimConflicts;
+                                m_claims.writeConflicted(bucket, at);
+                            } else {
+                                m_claims.callFailed(bucket, at);
+                            }
+                        });
+    }
+    for (ClaimBook::DecisionTo &decision : m_claims.takeDecisions(now))
+        m_peer->post(FrontPayloadTo{ decision.vm, std::move(decision.decision) });
+    m_figures.claimsWaiting = m_claims.waiting();
+}
+
+} // namespace basildeck
--- /dev/null
+++ b/tools/standin/RawSocket.cpp
@@ -0,0 +1,285 @@
+#include "standin/RawSocket.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace basildeck::standin {
+
+namespace {
+
+constexpr std::size_t readBytes = 64 * 1024;
+constexpr int listenBacklog = 1024;
+
+sockaddr_in socketAddress(const std::string &ip, std::uint16_t port)
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
+    return address;
+}
+
+std::string lowered(std::string_view text)
+{
+    std::string result(text);
+    std::transform(result.begin(), result.end(), result.begin(),
+                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return result;
+}
+
+std::optional<std::size_t> parseNumber(std::string_view text, int base)
+{
+    std::size_t value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value, base);
+    if (error != std::errc() || end == text.data())
+        return std::nullopt;
+    return value;
+}
+
+// Moves bytes from the socket to a body until its length is reached.
+bool readLength(RawSocket &socket, std::string &body, std::size_t length)
+{
+    const std::size_t goal = body.size() + length;
+    while (body.size() < goal) {
+        if (socket.buffer().empty() && !socket.receive())
+            return false;
+        const std::size_t part = std::min(goal - body.size(), socket.buffer().size());
+        body.append(socket.buffer(), 0, part);
+        socket.buffer().erase(0, part);
+    }
+    return true;
+}
+
+std::optional<std::string> readLine(RawSocket &socket)
+{
+    std::size_t end = 0;
+    while ((end = socket.buffer().find("\r\n")) == std::string::npos) {
+        if (!socket.receive())
+            return std::nullopt;
+    }
+    std::string line = socket.buffer().substr(0, end);
+    socket.buffer().erase(0, end + 2);
+    return line;
+}
+
+bool readChunks(RawSocket &socket, std::string &body)
+{
+    while (true) {
+        const auto line = readLine(socket);
+        const auto length = line ? parseNumber(*line, 16) : std::nullopt;
+        if (!length)
+            return false;
+        if (!readLength(socket, body, *length) || !readLine(socket))
+            return false;
+        if (*length == 0)
+            return true;
+    }
+}
+
+} // namespace
+
+std::unique_ptr<RawSocket> RawSocket::connect(const Address &address, const std::string &from)
+{
+    const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    auto result = std::make_unique<RawSocket>(descriptor);
+    if (!from.empty()) {
+        const sockaddr_in source = socketAddress(from, 0);
+        if (::bind(descriptor, reinterpret_cast<const sockaddr *>(&source), sizeof source) != 0)
+            return nullptr;
+    }
+    const int one = 1;
+    ::setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+    result->setTimeout(defaultTimeoutMs);
+    const sockaddr_in target = socketAddress(address.ip, address.port);
+    if (::connect(descriptor, reinterpret_cast<const sockaddr *>(&target), sizeof target) != 0)
+        return nullptr;
+    return result;
+}
+
+RawSocket::~RawSocket()
+{
+    ::close(m_descriptor);
+}
+
+bool RawSocket::send(std::string_view bytes)
+{
+    while (!bytes.empty()) {
+        const ssize_t sent = ::send(m_descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        if (sent <= 0)
+            return false;
+        bytes.remove_prefix(static_cast<std::size_t>(sent));
+    }
+    return true;
+}
+
+bool RawSocket::receive()
+{
+    std::array<char, readBytes> chunk; // NOLINT: filled by recv
+    const ssize_t length = ::recv(m_descriptor, chunk.data(), chunk.size(), 0);
+    if (length <= 0)
+        return false;
+    m_buffer.append(chunk.data(), static_cast<std::size_t>(length));
+    return true;
+}
+
+void RawSocket::setTimeout(int milliseconds)
+{
+    const timeval limit{ milliseconds / 1000, (milliseconds % 1000) * 1000 };
+    ::setsockopt(m_descriptor, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+    ::setsockopt(m_descriptor, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof limit);
+}
+
+void RawSocket::setReceiveBuffer(int bytes)
+{
+    ::setsockopt(m_descriptor, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
+}
+
+void RawSocket::resetOnClose()
+{
+    const linger immediately{ 1, 0 };
+    ::setsockopt(m_descriptor, SOL_SOCKET, SO_LINGER, &immediately, sizeof immediately);
+}
+
+void RawSocket::shutdownWrite()
+{
+    ::shutdown(m_descriptor, SHUT_WR);
+}
+
+bool RawSocket::peerClosed()
+{
+    pollfd entry{ m_descriptor, POLLRDHUP, 0 };
+    return ::poll(&entry, 1, 0) > 0;
+}
+
+std::unique_ptr<RawListener> RawListener::make(const std::string &ip, std::uint16_t port)
+{
+    const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int one = 1;
+    ::setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+    sockaddr_in address = socketAddress(ip, port);
+    socklen_t length = sizeof address;
+    if (::bind(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof address) != 0
+        || ::listen(descriptor, listenBacklog) != 0) {
+        ::close(descriptor);
+        return nullptr;
+    }
+    ::getsockname(descriptor, reinterpret_cast<sockaddr *>(&address), &length);
+    return std::unique_ptr<RawListener>(
+            new RawListener(descriptor, Address{ ip, ntohs(address.sin_port) }));
+}
+
+RawListener::~RawListener()
+{
+    ::close(m_descriptor);
+}
+
+std::unique_ptr<RawSocket> RawListener::accept()
+{
+    const int descriptor = ::accept4(m_descriptor, nullptr, nullptr, SOCK_CLOEXEC);
+    if (descriptor < 0)
+        return nullptr;
+    const int one = 1;
+    ::setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+    return std::make_unique<RawSocket>(descriptor);
+}
+
+void RawListener::stop()
+{
+    ::shutdown(m_descriptor, SHUT_RDWR);
+}
+
+std::uint16_t freePort(const std::string &ip)
+{
+    return RawListener::make(ip, 0)->address().port;
+}
+
+std::string_view RawHead::header(std::string_view name) const
+{
+    for (const HttpHeader &header : headers) {
+        if (header.name == name)
+            return header.value;
+    }
+    return {};
+}
+
+int RawHead::status() const
+{
+    const auto space = startLine.find(' ');
+    if (space == std::string::npos)
+        return 0;
+    return static_cast<int>(
+            parseNumber(std::string_view(startLine).substr(space + 1), 10).value_or(0));
+}
+
+std::optional<RawHead> readHead(RawSocket &socket)
+{
+    RawHead head;
+    auto line = readLine(socket);
+    if (!line)
+        return std::nullopt;
+    head.startLine = *line;
+    while ((line = readLine(socket))) {
+        if (line->empty())
+            return head;
+        const auto colon = line->find(':');
+        if (colon == std::string::npos)
+            return std::nullopt;
+        const auto value = line->find_first_not_of(' ', colon + 1);
+        head.headers.push_back({ lowered(line->substr(0, colon)),
+                                 value == std::string::npos ? "" : line->substr(value) });
+    }
+    return std::nullopt;
+}
+
+std::optional<RawAnswer> readAnswer(RawSocket &socket, bool hasBody)
+{
+    auto head = readHead(socket);
+    if (!head)
+        return std::nullopt;
+    RawAnswer answer{ std::move(*head), "", true };
+    const int status = answer.head.status();
+    if (!hasBody || status == 204 || status == 304)
+        return answer;
+    if (answer.head.header("transfer-encoding") == "chunked") {
+        answer.whole = readChunks(socket, answer.body);
+        return answer;
+    }
+    if (const auto length = parseNumber(answer.head.header("content-length"), 10)) {
+        answer.whole = readLength(socket, answer.body, *length);
+        return answer;
+    }
+    while (socket.receive()) {
+    }
+    answer.body = std::move(socket.buffer());
+    return answer;
+}
+
+std::optional<RawAnswer> fetch(const Address &address, std::string_view request)
+{
+    const auto socket = RawSocket::connect(address);
+    if (!socket || !socket->send(request))
+        return std::nullopt;
+    return readAnswer(*socket, !request.starts_with("HEAD "));
+}
+
+std::string makeRequest(std::string_view method, std::string_view path,
+                        const std::vector<HttpHeader> &headers, std::string_view body)
+{
+    std::string request
+            = std::string(method) + " " + std::string(path) + " HTTP/1.1\r\nHost: test\r\n";
+    for (const HttpHeader &header : headers)
+        request += header.name + ": " + header.value + "\r\n";
+    if (!body.empty() || method == "POST")
+        request += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    return request + "\r\n" + std::string(body);
+}
+
+} // namespace basildeck::standin
--- /dev/null
+++ b/tools/standin/StoreStandin.cpp
@@ -0,0 +1,280 @@
+#include "standin/StoreStandin.h"
+
+#include <nlohmann/json.hpp>
+
+namespace basildeck::standin {
+
+using nlohmann::json;
+
+struct StoreStandin::Delayed
+{
+    Time at;
+    HttpServer::RequestId id;
+    HttpAnswer answer;
+};
+
+struct StoreStandin::Watch
+{
+    HttpServer::RequestId id;
+    std::string kind;
+    std::uint64_t from;
+    Time expires;
+};
+
+namespace {
+
+constexpr microseconds tick{ 1'000 };
+
+HttpAnswer answerOf(int status, const json &body)
+{
+    HttpAnswer answer;
+    answer.status = status;
+    answer.body = body.dump();
+    return answer;
+}
+
+json objectJson(const StoredObject &object)
+{
+    return { { "kind", object.kind },
+             { "name", object.name },
+             { "version", object.version },
+             { "deleted", object.deleted },
+             { "value", object.deleted ? json() : json::parse(object.value, nullptr, false) } };
+}
+
+json listJson(const std::vector<StoredObject> &objects, std::uint64_t version)
+{
+    json items = json::array();
+    for (const StoredObject &object : objects)
+        items.push_back(objectJson(object));
+    return { { "version", version }, { "items", items } };
+}
+
+std::uint64_t numberArgument(const HttpRequest &request, std::string_view name)
+{
+    return std::strtoull(request.argument(name).c_str(), nullptr, 10);
+}
+
+// Splits "/v1/objects/KIND/NAME" behind its prefix.
+std::pair<std::string, std::string> kindAndName(const std::string &path, std::string_view prefix)
+{
+    const std::string rest = path.substr(prefix.size());
+    const auto slash = rest.find('/');
+    if (slash == std::string::npos)
+        return { rest, "" };
+    return { rest.substr(0, slash), rest.substr(slash + 1) };
+}
+
+constexpr std::string_view objectsPrefix = "/v1/objects/";
+constexpr std::string_view watchPrefix = "/v1/watch/";
+constexpr std::string_view vmsPrefix = "/vms/";
+
+} // namespace
+
+std::unique_ptr<StoreStandin> StoreStandin::make(const Address &address)
+{
+    std::unique_ptr<StoreStandin> store(new StoreStandin);
+    store->m_loop = LwsLoop::make({ .tick = tick });
+    if (!store->m_loop)
+        return nullptr;
+    StoreStandin *self = store.get();
+    store->m_server = HttpServer::make(
+            *store->m_loop, address, [self](HttpServer::RequestId id, const HttpRequest &request) {
+                self->handle(id, request);
+            });
+    if (!store->m_server)
+        return nullptr;
+    store->m_loop->setOnTick([self] { self->onTick(); });
+    return store;
+}
+
+StoreStandin::~StoreStandin()
+{
+    if (m_thread.joinable()) {
+        m_loop->stop();
+        m_thread.join();
+    }
+}
+
+void StoreStandin::start()
+{
+    m_thread = std::thread([this] { m_loop->run(); });
+}
+
+void StoreStandin::setFaults(const StoreFaults &faults)
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    m_faults = faults;
+}
+
+StoreCounts StoreStandin::counts() const
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    return m_counts;
+}
+
+void StoreStandin::setVm(const std::string &name, const std::string &state)
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    VmState &vm = m_vms[name];
+    vm.before = vm.state;
+    vm.state = state;
+    vm.changed = Clock::now();
+}
+
+void StoreStandin::handle(HttpServer::RequestId id, const HttpRequest &request)
+{
+    if (!request.path.starts_with("/v1/")) {
+        handleControl(id, request);
+        return;
+    }
+    std::lock_guard<std::mutex> lock(m_mutex);
+    const Time now = Clock::now();
+    if (m_faults.outage) {
+        m_server->drop(id);
+        return;
+    }
+    if (overCallRate(now)) {
+        m_server->answer(id, answerOf(429, { { "error", "too many calls" } }));
+        return;
+    }
+    if (request.path.starts_with(watchPrefix)) {
+        ++m_counts.watches;
+        m_watches.push_back({ id, request.path.substr(watchPrefix.size()),
+                              numberArgument(request, "from"),
+                              now + milliseconds(numberArgument(request, "waitMs")) });
+        return;
+    }
+    HttpAnswer answer = request.path == "/v1/vms" ? vmList() : handleObject(request);
+    if (std::exchange(m_loseNextAnswer, false)) {
+        m_server->drop(id);
+        return;
+    }
+    m_delayed.push_back({ now + m_faults.latency, id, std::move(answer) });
+}
+
+void StoreStandin::handleControl(HttpServer::RequestId id, const HttpRequest &request)
+{
+    if (request.path.starts_with(vmsPrefix)) {
+        setVm(request.path.substr(vmsPrefix.size()), request.argument("state"));
+        m_server->answer(id, answerOf(200, json::object()));
+        return;
+    }
+    if (request.path == "/faults") {
+        const json body = json::parse(request.body, nullptr, false);
+        if (body.is_discarded()) {
+            m_server->answer(id, answerOf(400, { { "error", "not JSON" } }));
+            return;
+        }
+        StoreFaults faults;
+        faults.latency = milliseconds(body.value("latencyMs", 2));
+        faults.outage = body.value("outage", false);
+        faults.loseAnswers = body.value("loseAnswers", 0);
+        faults.callsPerSecond = body.value("callsPerSecond", 0);
+        faults.vmListLag = milliseconds(body.value("vmListLagMs", 0));
+        setFaults(faults);
+        m_server->answer(id, answerOf(200, json::object()));
+        return;
+    }
+    const StoreCounts now = counts();
+    m_server->answer(id, answerOf(request.path == "/counts" ? 200 : 404,
+                                  { { "reads", now.reads },
+                                    { "writes", now.writes },
+                                    { "watches", now.watches },
+                                    { "conflicts", now.conflicts } }));
+}
+
+HttpAnswer StoreStandin::handleObject(const HttpRequest &request)
+{
+    if (!request.path.starts_with(objectsPrefix))
+        return answerOf(404, { { "error", "no such path" } });
+    const auto [kind, name] = kindAndName(request.path, objectsPrefix);
+    if (request.method == "PUT" || request.method == "DELETE")
+        return write(request, kind, name);
+    ++m_counts.reads;
+    if (name.empty())
+        return answerOf(200, listJson(m_objects.list(kind, 0), m_objects.version()));
+    const StoredObject *object = m_objects.find(kind, name);
+    if (object == nullptr)
+        return answerOf(404, { { "error", "no such object" } });
+    return answerOf(200, objectJson(*object));
+}
+
+HttpAnswer StoreStandin::write(const HttpRequest &request, const std::string &kind,
+                               const std::string &name)
+{
+    ++m_counts.writes;
+    const std::uint64_t expected = numberArgument(request, "version");
+    if (request.method == "PUT" && !json::accept(request.body))
+        return answerOf(400, { { "error", "the value is not JSON" } });
+    const auto result = request.method == "PUT" ? m_objects.put(kind, name, expected, request.body)
+                                                : m_objects.remove(kind, name, expected);
+    if (!result) {
+        ++m_counts.conflicts;
+        const StoredObject *current = m_objects.find(kind, name);
+        return answerOf(result.error().kind == ErrorKind::EditConflict ? 409 : 413,
+                        { { "error", result.error().detail },
+                          { "version", current == nullptr ? 0 : current->version } });
+    }
+    if (m_faults.loseAnswers > 0) {
+        --m_faults.loseAnswers;
+        m_loseNextAnswer = true;
+    }
+    return answerOf(200, { { "version", result.value() } });
+}
+
+HttpAnswer StoreStandin::vmList() const
+{
+    json items = json::array();
+    const Time now = Clock::now();
+    for (const auto &[name, vm] : m_vms) {
+        const bool shown = now - vm.changed >= m_faults.vmListLag;
+        const std::string &state = shown ? vm.state : vm.before;
+        if (!state.empty())
+            items.push_back({ { "name", name }, { "state", state } });
+    }
+    return answerOf(200, { { "items", items } });
+}
+
+void StoreStandin::onTick()
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    const Time now = Clock::now();
+    std::erase_if(m_delayed, [&](Delayed &delayed) {
+        if (delayed.at > now)
+            return false;
+        m_server->answer(delayed.id, std::move(delayed.answer));
+        return true;
+    });
+    answerWatches(now);
+}
+
+void StoreStandin::answerWatches(Time now)
+{
+    std::erase_if(m_watches, [&](const Watch &watch) {
+        if (m_faults.outage) {
+            m_server->drop(watch.id);
+            return true;
+        }
+        const auto newer = m_objects.list(watch.kind, watch.from);
+        const bool news = !newer.empty() && newer.front().version > watch.from;
+        if (!news && watch.expires > now)
+            return false;
+        m_delayed.push_back({ now + m_faults.latency, watch.id,
+                              answerOf(200, listJson(newer, m_objects.version())) });
+        return true;
+    });
+}
+
+bool StoreStandin::overCallRate(Time now)
+{
+    if (m_faults.callsPerSecond == 0)
+        return false;
+    if (now - m_second >= seconds(1)) {
+        m_second = now;
+        m_callsInSecond = 0;
+    }
+    return ++m_callsInSecond > m_faults.callsPerSecond;
+}
+
+} // namespace basildeck::standin
--- /dev/null
+++ b/tools/standin/UpstreamStandin.cpp
@@ -0,0 +1,251 @@
+#include "standin/UpstreamStandin.h"
+
+#include "basildeck/Time.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace basildeck::standin {
+
+namespace {
+
+constexpr std::size_t writeBytes = 64 * 1024;
+constexpr milliseconds cancelCheck{ 5 };
+constexpr int idleTimeoutMs = 2'000;
+
+HttpRequest parseStartLine(const RawHead &head)
+{
+    HttpRequest request;
+    const auto first = head.startLine.find(' ');
+    const auto second = head.startLine.rfind(' ');
+    if (first == std::string::npos || second <= first)
+        return request;
+    request.method = head.startLine.substr(0, first);
+    const std::string target = head.startLine.substr(first + 1, second - first - 1);
+    const auto mark = target.find('?');
+    request.path = target.substr(0, mark);
+    request.query = mark == std::string::npos ? "" : target.substr(mark + 1);
+    return request;
+}
+
+long numberArgument(const HttpRequest &request, std::string_view name, long fallback)
+{
+    const std::string text = request.argument(name);
+    return text.empty() ? fallback : std::strtol(text.c_str(), nullptr, 10);
+}
+
+std::string hexadecimal(std::size_t value)
+{
+    std::array<char, 24> text{};
+    std::snprintf(text.data(), text.size(), "%zx", value);
+    return text.data();
+}
+
+// Sends a body of a given length, repeating the pattern, framed by chunks or not.
+bool sendBody(RawSocket &socket, const std::string &pattern, std::size_t length, bool chunked)
+{
+    std::string block;
+    while (block.size() < std::min(length, writeBytes))
+        block += pattern;
+    for (std::size_t sent = 0; sent < length;) {
+        const std::size_t part = std::min(length - sent, block.size());
+        const std::string_view bytes(block.data(), part);
+        if (chunked && !socket.send(hexadecimal(part) + "\r\n"))
+            return false;
+        if (!socket.send(bytes) || (chunked && !socket.send("\r\n")))
+            return false;
+        sent += part;
+    }
+    return true;
+}
+
+// Waits, and stops early when the caller leaves. Returns false if it left.
+bool waitOrCancelled(RawSocket &socket, milliseconds wait)
+{
+    const Time end = Clock::now() + wait;
+    while (Clock::now() < end) {
+        if (socket.peerClosed())
+            return false;
+        std::this_thread::sleep_for(std::min<Duration>(cancelCheck, end - Clock::now()));
+    }
+    return true;
+}
+
+} // namespace
+
+std::unique_ptr<UpstreamStandin> UpstreamStandin::make(const Options &options)
+{
+    auto listener = RawListener::make(options.ip, options.port);
+    if (!listener)
+        return nullptr;
+    std::unique_ptr<UpstreamStandin> upstream(new UpstreamStandin(options, std::move(listener)));
+    UpstreamStandin *self = upstream.get();
+    upstream->m_thread = std::thread([self] { self->accept(); });
+    return upstream;
+}
+
+UpstreamStandin::~UpstreamStandin()
+{
+    m_stopped = true;
+    m_listener->stop();
+    m_thread.join();
+    while (m_connections > 0)
+        std::this_thread::sleep_for(cancelCheck);
+}
+
+UpstreamCounts UpstreamStandin::counts() const
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    return m_counts;
+}
+
+std::map<std::string, int> UpstreamStandin::runsByKey() const
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    return m_runsByKey;
+}
+
+RawHead UpstreamStandin::lastHead() const
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    return m_lastHead;
+}
+
+std::string UpstreamStandin::lastBody() const
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    return m_lastBody;
+}
+
+void UpstreamStandin::accept()
+{
+    while (!m_stopped) {
+        std::shared_ptr<RawSocket> socket = m_listener->accept();
+        if (!socket)
+            return;
+        ++m_connections;
+        std::thread([this, socket] {
+            serve(socket);
+            --m_connections;
+        }).detach();
+    }
+}
+
+void UpstreamStandin::serve(const std::shared_ptr<RawSocket> &socket)
+{
+    socket->setTimeout(idleTimeoutMs);
+    while (!m_stopped && serveOne(*socket)) {
+    }
+}
+
+bool UpstreamStandin::begin(const RawHead &head)
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    ++m_counts.requests;
+    m_lastHead = head;
+    if (!head.header("authorization").empty())
+        ++m_counts.keysSeen;
+    if (m_options.slots > 0 && m_counts.inFlight >= m_options.slots) {
+        ++m_counts.shed;
+        return false;
+    }
+    ++m_counts.runs;
+    ++m_counts.inFlight;
+    m_counts.maxInFlight = std::max(m_counts.maxInFlight, m_counts.inFlight);
+    const std::string key(head.header("idempotency-key"));
+    if (!key.empty())
+        ++m_runsByKey[key];
+    return true;
+}
+
+void UpstreamStandin::end(bool cancelled)
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    --m_counts.inFlight;
+    m_counts.cancelled += cancelled ? 1 : 0;
+}
+
+bool UpstreamStandin::serveOne(RawSocket &socket)
+{
+    const auto head = readHead(socket);
+    if (!head)
+        return false;
+    const HttpRequest request = parseStartLine(*head);
+    if (!begin(*head)) {
+        socket.send("HTTP/1.1 503 Service Unavailable\r\nBasildeck-Run: not-run\r\n"
+                    "Content-Length: 0\r\nConnection: close\r\n\r\n");
+        return false;
+    }
+    std::size_t received = 0;
+    std::string kept;
+    const std::size_t length
+            = std::strtoull(std::string(head->header("content-length")).c_str(), nullptr, 10);
+    while (received < length) {
+        if (socket.buffer().empty() && !socket.receive())
+            break;
+        const std::size_t part = std::min(length - received, socket.buffer().size());
+        if (kept.size() < writeBytes)
+            kept.append(socket.buffer(), 0, std::min(part, writeBytes));
+        socket.buffer().erase(0, part);
+        received += part;
+    }
+    if (received < length || m_crashing) {
+        end(received < length);
+        return false;
+    }
+    const bool stayed
+            = waitOrCancelled(socket, milliseconds(numberArgument(request, "sleepMs", 0)));
+    {
+        std::lock_guard<std::mutex> lock(m_mutex);
+        m_lastBody = kept;
+    }
+    const nlohmann::json body = { { "target", m_options.name },
+                                  { "method", request.method },
+                                  { "path", request.path },
+                                  { "query", request.query },
+                                  { "received", received } };
+    // Counted as ended before the answer is out, so that a caller that has its answer finds the
+    // slot free.
+    end(!stayed);
+    return stayed && answer(socket, request, body.dump());
+}
+
+bool UpstreamStandin::answer(RawSocket &socket, const HttpRequest &request, const std::string &body)
+{
+    const long status = numberArgument(request, "status", 200);
+    const std::string frame = request.argument("frame");
+    const std::size_t length = static_cast<std::size_t>(
+            numberArgument(request, "bytes", static_cast<long>(body.size())));
+    std::string head = "HTTP/1.1 " + std::to_string(status) + " Status\r\n"
+                       + "Content-Type: application/json\r\n";
+    if (const std::string location = request.argument("location"); !location.empty())
+        head += "Location: " + location + "\r\n";
+    if (frame == "none")
+        return false;
+    if (frame == "half-head") {
+        socket.send("HTTP/1.1 200 OK\r\nContent-Le");
+        return false;
+    }
+    if (frame == "garbage") {
+        socket.send("\x01\x02 not an answer\r\n\r\n");
+        return false;
+    }
+    const bool chunked = frame == "chunked" || frame == "cut-chunked";
+    if (chunked)
+        head += "Transfer-Encoding: chunked\r\n";
+    else if (frame != "close" && status != 204 && status != 304)
+        head += "Content-Length: " + std::to_string(length) + "\r\n";
+    if (!socket.send(head + "\r\n"))
+        return false;
+    if (request.method == "HEAD" || status == 204 || status == 304)
+        return true;
+    const bool cut = frame == "cut" || frame == "cut-chunked";
+    if (!sendBody(socket, body, cut ? length / 2 : length, chunked) || cut)
+        return false;
+    if (chunked && !socket.send("0\r\n\r\n"))
+        return false;
+    return frame != "close";
+}
+
+} // namespace basildeck::standin
