Scenario language for budgets, claims and membership

Cause: the fleet-wide decisions had no proof under failure. Change: a small scenario language over virtual time, three worlds (budget, claims, membership) with naive twins (one bucket over the merged trace, a run counter for each key) and 18 scenarios; a VM that missed news compares member lists by digest; a late poll no longer refuses a request for which a token is here; the proposal of holder tables is a pure function. Seen before: a restarted VM of 14 never learnt of 8 others (membership-restarts-and-leaves). Conclusion: the digest repairs missed news without a cost that grows with the fleet.

--- a/src/config/Settings.cpp
+++ b/src/config/Settings.cpp
@@ -31,7 +31,7 @@
 
     std::string text(const std::string &section, const std::string &key)
     {
-        const std::string value = optionalText(section, key, "");
+        std::string value = optionalText(section, key, "");
         if (value.empty())
             fail(section, key, "is missing");
         return value;
--- a/src/decide/ClaimBook.cpp
+++ b/src/decide/ClaimBook.cpp
@@ -201,8 +201,8 @@
         changed = true;
     }
     if (changed)
-        std::erase_if(bucket.written, [&](const auto &entry) {
-            return entry.second.expiresUnixSeconds <= nowUnixSeconds;
+        std::erase_if(bucket.written, [&](const auto &known) {
+            return known.second.expiresUnixSeconds <= nowUnixSeconds;
         });
     return changed;
 }
@@ -210,14 +210,16 @@
 std::vector<ClaimBook::StoreCall> ClaimBook::dueCalls(Time now, std::int64_t nowUnixSeconds)
 {
     std::vector<StoreCall> calls;
-    for (auto &[index, bucket] : m_buckets) {
+    for (auto &entry : m_buckets) {
+        const int index = entry.first;
+        Bucket &bucket = entry.second;
         if (bucket.callOpen || bucket.retryAt > now)
             continue;
         if (bucket.begins.empty() && bucket.finishes.empty() && bucket.releases.empty())
             continue;
         // Expired entries no longer stand in the way of a key.
-        std::erase_if(bucket.entries, [&](const auto &entry) {
-            return entry.second.expiresUnixSeconds <= nowUnixSeconds;
+        std::erase_if(bucket.entries, [&](const auto &known) {
+            return known.second.expiresUnixSeconds <= nowUnixSeconds;
         });
         if (bucket.known)
             settle(bucket, now);
@@ -295,7 +297,8 @@
 
 std::vector<ClaimBook::DecisionTo> ClaimBook::takeDecisions(Time now)
 {
-    for (auto &[index, bucket] : m_buckets) {
+    for (auto &entry : m_buckets) {
+        Bucket &bucket = entry.second;
         std::erase_if(bucket.begins, [&](const Waiting &waiting) {
             if (now - waiting.arrived < decideWithin)
                 return false;
--- a/src/decide/HolderTable.cpp
+++ b/src/decide/HolderTable.cpp
@@ -59,19 +59,19 @@
 }
 
 std::vector<std::string> desiredHolders(const std::vector<std::string> &current,
-                                        const std::set<std::string> &live,
-                                        const std::set<std::string> &leaving,
-                                        const std::set<std::string> &gone, std::size_t limit)
+                                        const HolderCandidates &candidates, std::size_t limit)
 {
+    const auto stays = [&](const std::string &vm) {
+        return !candidates.gone.contains(vm) && !candidates.leaving.contains(vm);
+    };
     std::vector<std::string> list;
     for (const std::string &vm : current) {
-        if (!gone.contains(vm) && !leaving.contains(vm))
+        if (stays(vm))
             list.push_back(vm);
     }
     std::vector<std::string> joining;
-    for (const std::string &vm : live) {
-        const bool known = std::find(list.begin(), list.end(), vm) != list.end();
-        if (!known && !gone.contains(vm) && !leaving.contains(vm))
+    for (const std::string &vm : candidates.live) {
+        if (stays(vm) && std::find(list.begin(), list.end(), vm) == list.end())
             joining.push_back(vm);
     }
     std::sort(joining.begin(), joining.end(), [](const std::string &a, const std::string &b) {
@@ -85,4 +85,28 @@
     return list;
 }
 
+std::optional<HolderTable> proposeHolders(const HolderTable &current, bool complete,
+                                          const HolderCandidates &candidates)
+{
+    const auto desired = desiredHolders(current.after, candidates, maxHolders);
+    if (desired.empty())
+        return std::nullopt;
+    const bool goneNews
+            = std::any_of(current.before.begin(), current.before.end(), [&](const std::string &vm) {
+                  return candidates.gone.contains(vm)
+                         && std::find(current.gone.begin(), current.gone.end(), vm)
+                                    == current.gone.end();
+              });
+    if (complete ? desired == current.after : !goneNews)
+        return std::nullopt;
+    HolderTable table;
+    table.before = complete ? current.after : current.before;
+    table.after = complete ? desired : current.after;
+    table.gone.assign(candidates.gone.begin(), candidates.gone.end());
+    table.regions = current.regions;
+    for (const auto &[vm, region] : candidates.regions)
+        table.regions[vm] = region;
+    return table;
+}
+
 } // namespace basildeck
--- a/src/decide/HolderTable.h
+++ b/src/decide/HolderTable.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -59,11 +60,26 @@
     std::map<std::string, std::uint64_t> m_acknowledged;
 };
 
-// The list of holders that a table should have, given the live VMs and those gone: all of them up
-// to the limit, else the ones that rank first. VMs that are neither live nor gone keep their part.
+// What a proposer knows of the VMs.
+struct HolderCandidates
+{
+    std::set<std::string> live; // by heartbeats
+    std::set<std::string> leaving;
+    std::set<std::string> gone; // by the platform's list
+    std::map<std::string, std::string> regions;
+};
+
+// VMs that own a part of the limits at most.
+constexpr std::size_t maxHolders = 7;
+
+// The list of holders that a table should have: VMs that own a part keep it until they leave or are
+// gone, also while they do not answer; live ones join up to the limit.
 std::vector<std::string> desiredHolders(const std::vector<std::string> &current,
-                                        const std::set<std::string> &live,
-                                        const std::set<std::string> &leaving,
-                                        const std::set<std::string> &gone, std::size_t limit);
+                                        const HolderCandidates &candidates, std::size_t limit);
+
+// The table to write after the current one, if one is due. While a change is open, nothing but the
+// news that a VM is gone is added to it.
+std::optional<HolderTable> proposeHolders(const HolderTable &current, bool complete,
+                                          const HolderCandidates &candidates);
 
 } // namespace basildeck
--- a/src/decide/Membership.cpp
+++ b/src/decide/Membership.cpp
@@ -1,5 +1,7 @@
 #include "decide/Membership.h"
 
+#include "core/Hash.h"
+
 #include <algorithm>
 #include <bit>
 
@@ -170,6 +172,37 @@
     return true;
 }
 
+std::uint64_t Membership::digest() const
+{
+    if (m_digestRevision == m_revision)
+        return m_digest;
+    const auto part = [](const Member &member) {
+        const std::string state = std::to_string(member.incarnation)
+                                  + (member.state == MemberState::Leaving ? "l" : "a");
+        return stableHash(member.vm, state);
+    };
+    m_digest = part(m_self);
+    for (const auto &[vm, known] : m_known) {
+        if (known.member.state != MemberState::Dead)
+            m_digest ^= part(known.member);
+    }
+    m_digestRevision = m_revision;
+    return m_digest;
+}
+
+bool Membership::wantsList(std::uint64_t otherDigest, Time now)
+{
+    if (m_settlingRevision != m_revision) {
+        m_settlingRevision = m_revision;
+        m_settlingSince = now;
+    }
+    if (otherDigest == digest() || now - m_settlingSince < settleTime
+        || now - m_lastCompare < compareInterval)
+        return false;
+    m_lastCompare = now;
+    return true;
+}
+
 std::vector<Member> Membership::takeUpdates(const std::string &to)
 {
     std::vector<std::pair<int, std::string>> order;
--- a/src/decide/Membership.h
+++ b/src/decide/Membership.h
@@ -52,6 +52,9 @@
     // Dead members are probed now and then, so that two halves of a fleet find each other again.
     static constexpr Duration deadProbePeriod = milliseconds(1000);
     static constexpr Duration forgetDeadAfter = seconds(600);
+    // Lists that differ for longer than news takes to spread are compared as a whole.
+    static constexpr Duration settleTime = seconds(3);
+    static constexpr Duration compareInterval = seconds(5);
     static constexpr std::size_t indirectProbes = 3;
     static constexpr std::size_t maxUpdatesInMessage = 6;
 
@@ -82,6 +85,12 @@
 
     // Takes in an update. Returns true if it was news.
     bool update(const Member &news, Time now);
+    // A digest of the VMs that are not dead, equal on all VMs that know the same of them.
+    std::uint64_t digest() const;
+    // Another VM has a digest. Returns true if its whole list is to be fetched, because some news
+    // must have been missed.
+    bool wantsList(std::uint64_t otherDigest, Time now);
+
     // Updates to attach to the next message, the least spread ones first.
     std::vector<Member> takeUpdates(const std::string &to);
 
@@ -131,6 +140,11 @@
     Time m_lastProbe;
     Time m_lastDeadProbe;
     std::uint64_t m_revision = 1;
+    mutable std::uint64_t m_digest = 0;
+    mutable std::uint64_t m_digestRevision = 0;
+    std::uint64_t m_settlingRevision = 0;
+    Time m_settlingSince;
+    Time m_lastCompare;
     std::mt19937_64 m_random;
 };
 
--- a/src/decide/RateGate.cpp
+++ b/src/decide/RateGate.cpp
@@ -11,25 +11,20 @@
         return Verdict::Admitted;
     if (m_waiting.size() >= maxWaiting)
         return Verdict::Refused;
-    m_waiting.push_back({ id, std::min(deadline, now + maxWait) });
+    m_waiting.push_back({ id, std::min(deadline, now + maxWait), deadline });
     return Verdict::Waiting;
 }
 
+// Tokens that are here go first to a request whose wait is over, so that a poll that comes late
+// refuses nothing that could have been served.
 std::vector<RateGate::Decision> RateGate::poll(Time now)
 {
     std::vector<Decision> decisions;
-    while (!m_waiting.empty()) {
-        const Waiter &first = m_waiting.front();
-        if (first.until <= now)
-            decisions.push_back({ first.id, Verdict::Refused });
-        else if (m_share.take(1, now))
-            decisions.push_back({ first.id, Verdict::Admitted });
-        else
-            break;
-        m_waiting.pop_front();
-    }
-    // Deadlines differ, so that requests behind the first one may be over before it.
     std::erase_if(m_waiting, [&](const Waiter &waiter) {
+        if (waiter.deadline > now && m_share.take(1, now)) {
+            decisions.push_back({ waiter.id, Verdict::Admitted });
+            return true;
+        }
         if (waiter.until > now)
             return false;
         decisions.push_back({ waiter.id, Verdict::Refused });
--- a/src/decide/RateGate.h
+++ b/src/decide/RateGate.h
@@ -47,7 +47,8 @@
     struct Waiter
     {
         RequestId id;
-        Time until;
+        Time until;    // refused then
+        Time deadline; // of no use to its caller then
     };
 
     BudgetShare m_share;
--- a/src/peer/Packet.cpp
+++ b/src/peer/Packet.cpp
@@ -28,7 +28,7 @@
 {
     archive(header.vm, header.incarnation, header.configVersion, header.holderVersion,
             header.holderAcknowledged, header.loadPermille, header.storeReachedAgeMs,
-            header.storeDownAgeMs);
+            header.storeDownAgeMs, header.membersDigest);
 }
 
 template <typename Archive>
--- a/src/peer/Packet.h
+++ b/src/peer/Packet.h
@@ -23,6 +23,7 @@
     std::uint32_t loadPermille = 0;
     std::int64_t storeReachedAgeMs = -1; // -1: never
     std::int64_t storeDownAgeMs = -1;
+    std::uint64_t membersDigest = 0;
 };
 
 using PacketBody = std::variant<Ping, Ack, PingRequest, IndirectAck, FrontPayload, StorePayload>;
--- a/src/peer/PeerTask.cpp
+++ b/src/peer/PeerTask.cpp
@@ -136,7 +136,7 @@
         if (alone)
             sendTo(seed, "", Ping{ 0 });
         if (!m_openSync)
-            startSync(seed);
+            startSync(seed, true);
     }
 }
 
@@ -272,6 +272,7 @@
     const StoreEvidenceAges ages = m_evidence.ages(now);
     header.storeReachedAgeMs = toMs(ages.reached);
     header.storeDownAgeMs = toMs(ages.foundDown);
+    header.membersDigest = m_membership.digest();
     return header;
 }
 
@@ -325,8 +326,11 @@
     const Member *member = m_membership.find(header.vm);
     const bool newer
             = header.configVersion > m_config.version() || header.holderVersion > m_holders.version;
-    if (newer && member != nullptr && !m_openSync)
-        startSync(member->peer);
+    if (member == nullptr || m_openSync)
+        return;
+    const bool wantsMembers = m_membership.wantsList(header.membersDigest, now);
+    if (newer || wantsMembers)
+        startSync(member->peer, wantsMembers);
 }
 
 void PeerTask::onBody(const Packet &packet, Time now)
@@ -366,9 +370,9 @@
     m_forwarded.erase(forwarded);
 }
 
-void PeerTask::startSync(const Address &from)
+void PeerTask::startSync(const Address &from, bool wantsMembers)
 {
-    const SyncRequest request{ m_config.version(), m_membership.members().size() < 2 };
+    const SyncRequest request{ m_config.version(), wantsMembers };
     m_openSync = m_sockets->startExchange(from, encodeSyncRequest(request));
 }
 
--- a/src/peer/PeerTask.h
+++ b/src/peer/PeerTask.h
@@ -61,7 +61,7 @@
     PacketHeader header(Time now) const;
     void takeConfig(std::uint64_t version, std::shared_ptr<const std::string> text);
     void takeHolders(const HolderTable &table);
-    void startSync(const Address &from);
+    void startSync(const Address &from, bool wantsMembers);
     void join(Time now);
     void publish(Time now);
     void publishRoles(Time now);
--- a/src/store/StoreTask.cpp
+++ b/src/store/StoreTask.cpp
@@ -24,7 +24,6 @@
 constexpr milliseconds watchWait{ 800 };
 constexpr Duration watchRetry = milliseconds(300);
 constexpr Duration vmListInterval = milliseconds(1000);
-constexpr std::size_t maxHolders = 7;
 
 std::int64_t unixSeconds()
 {
@@ -107,7 +106,7 @@
     const Time now = Clock::now();
     m_client->expire(now);
     watch(now);
-    proposeHolders(now);
+    checkHolders(now);
     commitClaims(now);
     m_figures.calls = m_client->calls();
 }
@@ -189,7 +188,7 @@
     }
 }
 
-void StoreTask::proposeHolders(Time now)
+void StoreTask::checkHolders(Time now)
 {
     if (!m_roles.proposes || m_vmsOpen || m_holderWriteOpen || now < m_nextVmList)
         return;
@@ -214,37 +213,23 @@
             m_listedLeaving.insert(vm.name);
     }
     m_peer->post(VmListChanged{ m_listedLeaving, m_gone });
-    const std::set<std::string> live(m_roles.live.begin(), m_roles.live.end());
-    std::set<std::string> leaving = m_listedLeaving;
-    leaving.insert(m_roles.leaving.begin(), m_roles.leaving.end());
-    const auto desired = desiredHolders(m_holders.after, live, leaving, m_gone, maxHolders);
-    const bool shrinkingGone = std::any_of(
-            m_holders.before.begin(), m_holders.before.end(), [&](const std::string &vm) {
-                const auto &listed = m_holders.gone;
-                return m_gone.contains(vm)
-                       && std::find(listed.begin(), listed.end(), vm) == listed.end();
-            });
-    const bool changes = desired != m_holders.after;
-    if (desired.empty())
-        return;
-    // While a change is open, only the news that a VM is gone may be added to it.
-    if ((m_roles.tableComplete && changes) || (!m_roles.tableComplete && shrinkingGone))
-        writeHolders(m_roles.tableComplete ? desired : m_holders.after);
+    HolderCandidates candidates;
+    candidates.live.insert(m_roles.live.begin(), m_roles.live.end());
+    candidates.leaving = m_listedLeaving;
+    candidates.leaving.insert(m_roles.leaving.begin(), m_roles.leaving.end());
+    candidates.gone = m_gone;
+    candidates.regions = m_roles.regions;
+    if (auto table = proposeHolders(m_holders, m_roles.tableComplete, candidates))
+        writeHolders(std::move(*table));
 }
 
-void StoreTask::writeHolders(const std::vector<std::string> &desired)
+void StoreTask::writeHolders(const HolderTable &table)
 {
-    HolderTable table;
-    table.before = m_roles.tableComplete ? m_holders.after : m_holders.before;
-    table.after = desired;
-    table.gone.assign(m_gone.begin(), m_gone.end());
-    table.regions = m_holders.regions;
-    for (const auto &[vm, region] : m_roles.regions)
-        table.regions[vm] = region;
     m_holderWriteOpen = true;
-    m_client->write(
-            fleetKind, holdersName, m_holders.version, encodeHolderTable(table),
-            [this, table](Result<std::uint64_t> result) { onHoldersWritten(result, table); });
+    m_client->write(fleetKind, holdersName, m_holders.version, encodeHolderTable(table),
+                    [this, table](const Result<std::uint64_t> &result) {
+                        onHoldersWritten(result, table);
+                    });
 }
 
 // After a conflict or a lost answer the object is read again, and the next round decides anew.
--- a/src/store/StoreTask.h
+++ b/src/store/StoreTask.h
@@ -53,9 +53,9 @@
     void watch(Time now);
     void onChanges(Result<StoreChanges> changes);
     void onObject(const StoredValue &object);
-    void proposeHolders(Time now);
+    void checkHolders(Time now);
     void onVms(Result<std::vector<ListedVm>> vms);
-    void writeHolders(const std::vector<std::string> &desired);
+    void writeHolders(const HolderTable &table);
     void onHoldersWritten(const Result<std::uint64_t> &result, HolderTable table);
     void commitClaims(Time now);
     void noteResult(bool reached);
--- /dev/null
+++ b/tests/BudgetWorld.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "FakeNetwork.h"
+#include "World.h"
+#include "decide/HolderTable.h"
+#include "decide/RateGate.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <variant>
+
+namespace basildeck::test {
+
+// Several VMs that keep one organisation to its rate, with a network, clocks and a table of
+// holders.
+//
+// Commands: traffic VM RATE, kill VM, restart VM, pause VM TIME, cut VM, heal VM, gone VM, join VM,
+// leave VM, store down|up, measure.
+// Expectations: over-admission 0, refused below SHARE, admitted above COUNT, holders NAMES.
+class BudgetWorld final : public World
+{
+public:
+    explicit BudgetWorld(const Line &options);
+    void command(const Line &line, Time now) override;
+    void step(Time now) override;
+    void check(const Line &expectation) override;
+
+    // Requests admitted beyond the limit, found by one naive bucket over the merged trace.
+    double overAdmission() const;
+    std::uint64_t offered() const { return m_offered; }
+    std::uint64_t refused() const { return m_refused; }
+    std::uint64_t messages() const { return m_messages; }
+    double meanWaitMs() const;
+
+private:
+    struct Node
+    {
+        Node(const std::string &name, BudgetLimit limit, std::uint64_t seed, Time localNow)
+            : gate(limit, seed, localNow)
+            , holders(name)
+        {}
+        RateGate gate;
+        HolderView holders;
+        std::uint64_t acknowledged = 0;
+    };
+    struct Vm
+    {
+        std::unique_ptr<Node> node; // null while the VM is dead
+        double clockRate = 1;
+        Duration clockOffset{ 0 };
+        Time pausedUntil;
+        double traffic = 0; // requests per second
+        double due = 0;
+        std::map<RateGate::RequestId, Time> arrived;
+        std::optional<Time> unreachableSince;
+        bool leaving = false;
+    };
+    using Message = std::variant<BudgetAsk, BudgetGrant>;
+
+    Time local(const Vm &vm, Time now) const;
+    bool listens(const std::string &name, Time now) const;
+    void start(const std::string &name, Time now);
+    void offerTraffic(Vm &vm, Time now);
+    void settle(Vm &vm, const RateGate::Decision &decision, Time now);
+    void deliver(Time now);
+    void heartbeat(Time now);
+    void applyTable(const std::string &name, Vm &vm, Time now);
+    void propose(Time now);
+
+    BudgetLimit m_limit;
+    std::map<std::string, Vm> m_vms;
+    FakeNetwork<Message> m_network;
+    std::mt19937 m_random;
+    HolderTable m_stored; // in the store
+    bool m_storeUp = true;
+    std::set<std::string> m_gone;
+    std::vector<Time> m_admitted;
+    std::uint64_t m_nextRequest = 1;
+    std::uint64_t m_starts = 0;
+    bool m_measuring = false;
+    std::uint64_t m_offered = 0;
+    std::uint64_t m_refused = 0;
+    std::uint64_t m_messages = 0;
+    Duration m_waited{ 0 };
+    std::uint64_t m_admittedMeasured = 0;
+};
+
+} // namespace basildeck::test
--- /dev/null
+++ b/tests/ClaimWorld.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "FakeNetwork.h"
+#include "World.h"
+#include "decide/ClaimBook.h"
+#include "standin/ObjectTable.h"
+
+#include <map>
+#include <memory>
+#include <variant>
+
+namespace basildeck::test {
+
+// Callers that send each idempotency key several times through VMs of their choice; VMs that claim
+// it at an owner that may not be the only one; and a store that loses answers.
+//
+// Commands: keys RATE, repeats COUNT, owners COUNT, kill VM, restart VM, pause VM TIME, store
+// up|down|losing SHARE, latency TIME, measure.
+// Expectations: runs-per-key 1, wrong-refusals 0, wrong-replays 0, run above COUNT,
+// writes-per-second below RATE.
+class ClaimWorld final : public World
+{
+public:
+    explicit ClaimWorld(const Line &options);
+    void command(const Line &line, Time now) override;
+    void step(Time now) override;
+    void check(const Line &expectation) override;
+
+    int mostRuns() const;
+    std::uint64_t writes() const { return m_writes; }
+    std::uint64_t granted() const { return m_runs.size(); }
+
+private:
+    // One request of a caller at a VM.
+    struct Request
+    {
+        ClaimId id;
+        std::string key;
+        Time arrived;
+        Time sent;
+        Time runEnds;
+        bool running = false;
+        bool dispatched = false;
+    };
+    struct Vm
+    {
+        std::unique_ptr<ClaimBook> book; // null while the VM is dead
+        std::uint64_t incarnation = 0;
+        Time pausedUntil;
+        std::map<std::uint64_t, Request> requests;
+        std::map<std::uint64_t, std::pair<ClaimFinish, Time>> unconfirmed;
+        std::map<std::uint64_t, std::string> endedUndecided;
+    };
+    using Message = std::variant<ClaimBegin, ClaimFinish, ClaimRelease, ClaimDecision>;
+    // A call of the store on its way there, or its answer on its way back.
+    struct Call
+    {
+        std::string vm;
+        std::uint64_t incarnation;
+        ClaimBook::StoreCall call;
+        bool answered = false;
+        bool lost = false;
+        Result<std::uint64_t> version = std::uint64_t{ 0 };
+        std::string value;
+    };
+
+    bool listens(const Vm &vm, Time now) const { return vm.book && vm.pausedUntil <= now; }
+    std::string ownerOf(const std::string &key);
+    void newRequests(Time now);
+    void tickRequests(const std::string &name, Vm &vm, Time now);
+    void deliver(Time now);
+    void onDecision(const std::string &name, Vm &vm, const std::string &owner,
+                    const ClaimDecision &decision, Time now);
+    void callStore(Time now);
+    void runCall(Call &call);
+    void answerCall(Call &call, Time now);
+
+    std::map<std::string, Vm> m_vms;
+    FakeNetwork<Message> m_network;
+    std::mt19937 m_random;
+    standin::ObjectTable m_store;
+    std::multimap<Time, Call> m_calls;
+    double m_keyRate;
+    double m_due = 0;
+    int m_repeats;
+    int m_owners;
+    bool m_storeUp = true;
+    double m_storeLoss = 0;
+    Duration m_latency = milliseconds(5);
+    std::uint64_t m_nextKey = 0;
+    std::uint64_t m_nextSequence = 0;
+    std::multimap<Time, std::string> m_planned;   // keys to send, by time
+    std::map<std::string, int> m_runs;            // by key: the naive twin
+    std::map<std::string, std::string> m_answers; // by key: what its run answered
+    std::uint64_t m_wrongRefusals = 0;
+    std::uint64_t m_wrongReplays = 0;
+    std::uint64_t m_replays = 0;
+    std::uint64_t m_writes = 0;
+    std::uint64_t m_writesBefore = 0;
+    Time m_measuredFrom;
+    Time m_last;
+};
+
+} // namespace basildeck::test
--- /dev/null
+++ b/tests/ScenarioTest.cpp
@@ -0,0 +1,62 @@
+#include "World.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <filesystem>
+
+namespace basildeck::test {
+
+namespace {
+
+std::unique_ptr<World> makeWorld(const Script &script)
+{
+    const std::string &kind = script.world.word(0);
+    if (kind == "budget")
+        return makeBudgetWorld(script.world);
+    if (kind == "membership")
+        return makeMembershipWorld(script.world);
+    if (kind == "claims")
+        return makeClaimWorld(script.world);
+    FAIL("unknown world in " << script.world.text);
+    return nullptr;
+}
+
+} // namespace
+
+void run(const Script &script)
+{
+    const auto world = makeWorld(script);
+    auto event = script.events.begin();
+    for (Time now{};; now += milliseconds(1)) {
+        for (; event != script.events.end() && event->at <= now; ++event) {
+            if (event->word(0) == "end") {
+                for (const Line &expectation : script.expectations) {
+                    INFO(expectation.text);
+                    world->check(expectation);
+                }
+                return;
+            }
+            INFO(event->text);
+            world->command(*event, now);
+        }
+        REQUIRE_MESSAGE(event != script.events.end(), script.name << " has no end");
+        world->step(now);
+    }
+}
+
+TEST_CASE("scenarios")
+{
+    std::vector<std::string> files;
+    for (const auto &entry : std::filesystem::directory_iterator(BASILDECK_SCENARIOS))
+        files.push_back(entry.path().string());
+    std::sort(files.begin(), files.end());
+    REQUIRE(!files.empty());
+    for (const std::string &file : files) {
+        const Script script = Script::load(file);
+        MESSAGE(script.name << ", seed " << script.world.option("seed", 1));
+        run(script);
+    }
+}
+
+} // namespace basildeck::test
