--- a/src/admin/AdminTask.cpp
+++ b/src/admin/AdminTask.cpp
@@ -69,7 +69,11 @@
     : m_settings(settings)
 {}
 
-AdminTask::~AdminTask() = default;
+AdminTask::~AdminTask()
+{
+    // Connections report their end to their owners while the loop is destroyed.
+    m_loop.reset();
+}
 
 void AdminTask::connect(Mailbox<FrontMessage> &front, const PeerTask::Figures &peer,
                         const StoreTask::Figures &store)
--- a/src/http/CallerServer.cpp
+++ b/src/http/CallerServer.cpp
@@ -5,6 +5,8 @@
 
 #include <libwebsockets.h>
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <array>
 #include <cstdio>
@@ -39,6 +41,7 @@
 
 constexpr std::size_t writeBytes = 64 * 1024;
 constexpr std::size_t chunkHeadBytes = 16; // hexadecimal length and its line end
+constexpr Duration goneCheckInterval = milliseconds(100);
 constexpr unsigned int keepAliveSeconds = 60;
 
 // What libwebsockets keeps for each connection.
@@ -73,6 +76,7 @@
     info.protocols = server->m_protocols.get();
     info.keepalive_timeout = keepAliveSeconds;
     info.timeout_secs = static_cast<unsigned int>(settings.headTimeout.count());
+    info.timeout_secs_ah_idle = static_cast<unsigned int>(settings.headTimeout.count());
     info.vhost_name = "caller";
     if (!settings.certificateFile.empty()) {
         info.options |= LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT;
@@ -182,6 +186,23 @@
         m_events.onGone(id);
 }
 
+void CallerServer::dropGone(Time now)
+{
+    if (now - m_lastGoneCheck < goneCheckInterval)
+        return;
+    m_lastGoneCheck = now;
+    for (const auto &[id, session] : m_sessions) {
+        if (session->http2 || !session->bodyComplete || session->waiting() > 0)
+            continue;
+        char byte = 0;
+        const int descriptor = lws_get_socket_fd(session->connection);
+        const ssize_t length = ::recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        const bool open = length > 0 || (length < 0 && (errno == EAGAIN || errno == EINTR));
+        if (!open)
+            lws_set_timeout(session->connection, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+    }
+}
+
 void CallerServer::answer(RequestId id, HttpAnswer answer)
 {
     Session *session = find(id);
--- a/src/http/CallerServer.h
+++ b/src/http/CallerServer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "basildeck/Result.h"
+#include "basildeck/Time.h"
 #include "config/Settings.h"
 #include "http/HttpMessages.h"
 #include "http/RequestHead.h"
@@ -66,6 +67,9 @@
     // Stops and restarts reading of the caller's body.
     void pauseBody(RequestId id, bool paused);
 
+    // Finds callers that have left while their request waits: the library does not look for that.
+    void dropGone(Time now);
+
     // Open requests.
     std::size_t openRequests() const { return m_sessions.size(); }
     std::size_t connections() const { return m_connections; }
@@ -92,6 +96,7 @@
     std::unordered_map<RequestId, std::unique_ptr<Session>> m_sessions;
     RequestId m_nextId = 1;
     bool m_closing = false;
+    Time m_lastGoneCheck;
 };
 
 } // namespace basildeck
--- a/src/http/FrontTask.cpp
+++ b/src/http/FrontTask.cpp
@@ -51,6 +51,7 @@
     options.maxHeaderBytes = settings.maxHeaderBytes;
     options.maxHeaderPool = settings.maxConnections;
     options.tick = tickPeriod;
+    options.timeout = settings.headTimeout;
     task->m_loop = LwsLoop::make(options);
     if (!task->m_loop)
         return nullptr;
@@ -128,6 +129,7 @@
 {
     const Time now = Clock::now();
     m_upstreams->reportFailed();
+    m_callers->dropGone(now);
     m_pipeline->tick(now);
     continueLeaving(now);
 }
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -57,7 +57,14 @@
     : m_loop(loop)
 {}
 
-HttpClient::~HttpClient() = default;
+// The loop may outlive the client, and ends the open connections then.
+HttpClient::~HttpClient()
+{
+    for (const auto &[id, exchange] : m_exchanges) {
+        if (exchange->connection != nullptr)
+            lws_set_opaque_user_data(exchange->connection, nullptr);
+    }
+}
 
 void HttpClient::send(const Address &address, HttpRequest request, milliseconds timeout, Done done)
 {
--- a/src/http/LwsLoop.cpp
+++ b/src/http/LwsLoop.cpp
@@ -38,6 +38,7 @@
     info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS | LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT;
     info.max_http_header_data2 = static_cast<unsigned int>(options.maxHeaderBytes);
     info.max_http_header_pool2 = static_cast<unsigned int>(options.maxHeaderPool);
+    info.timeout_secs = static_cast<unsigned int>(options.timeout.count());
     info.pt_serv_buf_size = 65536;
     info.gid = -1;
     info.uid = -1;
--- a/src/http/LwsLoop.h
+++ b/src/http/LwsLoop.h
@@ -24,6 +24,7 @@
         std::size_t maxHeaderBytes = 8192;
         std::size_t maxHeaderPool = 1024; // requests whose heads are parsed at the same time
         microseconds tick{ 10'000 };
+        seconds timeout{ 20 }; // for heads, handshakes and idle steps of the library
     };
 
     // Returns null if the library cannot make a context.
--- a/src/store/StoreTask.cpp
+++ b/src/store/StoreTask.cpp
@@ -81,7 +81,11 @@
     : m_settings(settings)
 {}
 
-StoreTask::~StoreTask() = default;
+StoreTask::~StoreTask()
+{
+    // Connections report their end to their owners while the loop is destroyed.
+    m_loop.reset();
+}
 
 void StoreTask::run()
 {
--- a/tests/ForwardingTest.cpp
+++ b/tests/ForwardingTest.cpp
@@ -170,8 +170,10 @@
            std::string("GET /main HT") }) {
         const auto socket = RawSocket::connect(fleet.caller());
         socket->send(head);
+        INFO(head.substr(0, 60));
         while (socket->receive()) {
         }
+        CHECK(socket->peerClosed());
         CHECK(socket->buffer().find(" 200 ") == std::string::npos);
     }
     Fleet::waitFor("connections are given back",
@@ -274,8 +276,16 @@
     auto socket = RawSocket::connect(fleet.caller());
     REQUIRE(socket->send(keyed("GET", "/main?sleepMs=8000", Fleet::alphaKey)));
     Fleet::waitFor("request runs", [&] { return inFlight() == 1; });
+    const auto cancelled = [&] {
+        std::uint64_t sum = 0;
+        for (std::size_t i = 0; i < fleet.upstreamCount(); ++i)
+            sum += fleet.upstream(i).counts().cancelled;
+        return sum;
+    };
+    const std::uint64_t before = cancelled();
     socket.reset();
     Fleet::waitFor("upstream is cancelled", [&] { return inFlight() == 0; });
+    CHECK(cancelled() == before + 1);
     Fleet::waitFor("slot is free", [&] { return fleet.status()["openRequests"] == 0; });
 }
 
--- a/tools/standin/RawSocket.cpp
+++ b/tools/standin/RawSocket.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <charconv>
 
 namespace basildeck::standin {
@@ -198,7 +199,15 @@
 
 std::uint16_t freePort(const std::string &ip)
 {
-    return RawListener::make(ip, 0)->address().port;
+    // Below the ephemeral ports, so that no outgoing connection takes the port meanwhile.
+    constexpr int first = 12'000;
+    constexpr int count = 19'000;
+    static std::atomic<int> next{ static_cast<int>(::getpid()) * 37 };
+    while (true) {
+        const auto port = static_cast<std::uint16_t>(first + next++ % count);
+        if (RawListener::make(ip, port))
+            return port;
+    }
 }
 
 std::string_view RawHead::header(std::string_view name) const
--- a/tools/standin/StoreStandin.cpp
+++ b/tools/standin/StoreStandin.cpp
@@ -94,6 +94,7 @@
         m_loop->stop();
         m_thread.join();
     }
+    m_loop.reset();
 }
 
 void StoreStandin::start()
