Links between regions keep their caps

Cause: links were configured and not enforced. Change: a pacer for each link, the same budget as an organisation's rate with loans between VMs; reads of answers and sends of bodies over a link wait for tokens; the kernel holds at most 64 KiB of unread answer there. First bytes that come with a head are counted as a debt. Conclusion: the cap holds for what VMs read; a shift's cap beyond that is not built.

--- a/src/config/FleetConfig.cpp
+++ b/src/config/FleetConfig.cpp
@@ -53,6 +53,8 @@
 {
     Organisation organisation;
     organisation.name = reader.text("name");
+    if (organisation.name.starts_with("link:"))
+        reader.fail("name", "names that start with \"link:\" are reserved");
     organisation.keyHashes = reader.texts("keyHashes");
     for (const std::string &hash : organisation.keyHashes) {
         if (hash.size() != sha256HexLength)
--- /dev/null
+++ b/src/decide/LinkPacer.cpp
@@ -0,0 +1,58 @@
+#include "decide/LinkPacer.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace basildeck {
+
+BudgetLimit LinkPacer::limitOf(double bytesPerSecond)
+{
+    // In any second at most the burst and one second's accrual pass, which is the cap.
+    return { bytesPerSecond * (1 - burstShare), bytesPerSecond * burstShare };
+}
+
+LinkPacer::LinkPacer(double bytesPerSecond, std::uint64_t nonceSeed, Time processStart)
+    : m_share(limitOf(bytesPerSecond), nonceSeed, processStart)
+{}
+
+void LinkPacer::setCap(double bytesPerSecond, Time now)
+{
+    m_share.setLimit(limitOf(bytesPerSecond), now);
+}
+
+bool LinkPacer::permitRead(Time now)
+{
+    if (m_debt > 0) {
+        const double paid = std::min(m_debt, m_share.available(now));
+        m_share.take(paid, now);
+        m_debt -= paid;
+    }
+    if (m_debt > 0 || m_share.available(now) < chunkBytes * (m_permitted + 1))
+        return false;
+    ++m_permitted;
+    return true;
+}
+
+void LinkPacer::withdrawRead()
+{
+    assert(m_permitted > 0);
+    --m_permitted;
+}
+
+void LinkPacer::noteRead(std::size_t bytes, bool permitted, Time now)
+{
+    if (permitted)
+        withdrawRead();
+    const auto amount = static_cast<double>(bytes);
+    m_share.noteDemand(amount, now);
+    const double covered = std::min(amount, m_share.available(now));
+    m_share.take(covered, now);
+    m_debt += amount - covered;
+}
+
+double LinkPacer::missing(int waitingReads) const
+{
+    return m_debt + chunkBytes * (m_permitted + waitingReads);
+}
+
+} // namespace basildeck
--- a/src/http/Exchange.h
+++ b/src/http/Exchange.h
@@ -64,7 +64,10 @@
     ClaimOutcome outcome; // of the answer that is under way
 
     std::uint64_t fingerprint = 0;
-    bool answerPaused = false;
+    bool answerPaused = false;  // the caller is slow
+    bool linkPaused = false;    // the link between regions has no tokens
+    bool linkPermitted = false; // one read over the link may come
+    bool bodyPaced = false;     // a part of the request body waits for tokens of the link
 };
 
 } // namespace basildeck
--- a/src/http/RequestPipeline.cpp
+++ b/src/http/RequestPipeline.cpp
@@ -50,6 +50,12 @@
     return exchange.organisation.empty() ? openOrganisation : exchange.organisation;
 }
 
+// The configuration refuses organisations with such a name.
+std::string linkBudget(const std::string &from, const std::string &to)
+{
+    return "link:" + from + ">" + to;
+}
+
 HttpAnswer refusalAnswer(ErrorKind kind, RunState run, const std::string &detail)
 {
     const ErrorAnswer &row = errorAnswer(kind);
@@ -406,6 +412,13 @@
     }
     const std::string_view rest = std::string_view(exchange->body).substr(exchange->bodyTaken);
     const std::string_view part = rest.substr(0, maxBytes);
+    if (LinkPacer *pacer = bodyPacer(*exchange); pacer != nullptr && !part.empty()) {
+        const Time now = Clock::now();
+        exchange->bodyPaced = !pacer->permitRead(now);
+        if (exchange->bodyPaced)
+            return {};
+        pacer->noteRead(part.size(), true, now);
+    }
     exchange->bodyTaken += part.size();
     const bool last = exchange->bodyEnded && part.size() == rest.size();
     if (rest.size() - part.size() < CallerServer::lowWaterBytes)
@@ -614,6 +627,7 @@
     if (!exchange.organisation.empty())
         request.headers.push_back({ "basildeck-organisation", exchange.organisation });
     request.contentLength = exchange.head.contentLength;
+    request.boundsReceiving = answerPacer(exchange) != nullptr;
     exchange.attempt = m_upstreams->open(target->address, std::move(request));
     m_attempts[*exchange.attempt] = exchange.id;
 }
@@ -625,6 +639,10 @@
         return;
     const UpstreamClient::AttemptId attempt = *exchange.attempt;
     exchange.attempt.reset();
+    if (std::exchange(exchange.linkPermitted, false))
+        answerPacer(exchange)->withdrawRead();
+    exchange.linkPaused = false;
+    exchange.bodyPaced = false;
     m_attempts.erase(attempt);
     m_upstreams->cancel(attempt);
     m_crashes.finished(exchange.fingerprint);
@@ -665,6 +683,7 @@
             exchange->outcome.contentType = header.value;
     }
     m_callers->startAnswer(exchange->id, head.status, head.headers, head.contentLength);
+    paceAnswer(*exchange, now);
 }
 
 void RequestPipeline::onData(UpstreamClient::AttemptId id, std::string_view bytes)
@@ -682,6 +701,11 @@
             outcome.body.clear();
     }
     m_callers->appendBody(exchange->id, bytes);
+    if (LinkPacer *pacer = answerPacer(*exchange)) {
+        const Time now = Clock::now();
+        pacer->noteRead(bytes.size(), std::exchange(exchange->linkPermitted, false), now);
+        paceAnswer(*exchange, now);
+    }
     if (m_callers->buffered(exchange->id) > CallerServer::highWaterBytes) {
         exchange->answerPaused = true;
         m_upstreams->pause(id, true);
@@ -697,7 +721,8 @@
     if (!exchange->answerPaused || !exchange->attempt)
         return;
     exchange->answerPaused = false;
-    m_upstreams->pause(*exchange->attempt, false);
+    if (!exchange->linkPaused)
+        m_upstreams->pause(*exchange->attempt, false);
 }
 
 void RequestPipeline::onEnd(UpstreamClient::AttemptId id, AttemptEnd end)
@@ -796,6 +821,16 @@
                                               m_processStart);
         gate->share().setLimit(limit, now);
     }
+    for (const Link &link : config.config->links) {
+        const std::string name = linkBudget(link.from, link.to);
+        auto &pacer = m_pacers[name];
+        if (!pacer)
+            pacer = std::make_unique<LinkPacer>(
+                    link.bytesPerSecond,
+                    stableHash(m_settings.vmName + name, std::to_string(m_processNumber)),
+                    m_processStart);
+        pacer->setCap(link.bytesPerSecond, now);
+    }
     for (const Service &service : config.config->services)
         m_services.try_emplace(
                 service.name,
@@ -840,10 +875,10 @@
 {
     std::vector<std::string> holders = m_holders.holders();
     std::erase(holders, m_settings.vmName);
-    for (auto &[organisation, gate] : m_gates) {
-        gate->share().setFraction(m_holders.fraction(), now);
-        gate->share().setHolders(holders);
-    }
+    forEachShare([&](const std::string &, BudgetShare &share) {
+        share.setFraction(m_holders.fraction(), now);
+        share.setHolders(holders);
+    });
 }
 
 // Sets the slots that this VM may use: the smaller of its two parts while a change is under way.
@@ -887,14 +922,14 @@
     const std::uint64_t version = m_holders.table().version;
     if (version == m_acknowledgedTable)
         return;
-    for (auto &[organisation, gate] : m_gates) {
-        if (!gate->share().fitsFraction(now))
-            return;
-    }
-    for (const auto &[name, service] : m_services) {
-        if (!service.pool.fitsSlots())
-            return;
-    }
+    bool fits = true;
+    forEachShare([&](const std::string &, BudgetShare &share) {
+        fits = fits && share.fitsFraction(now);
+    });
+    for (const auto &[name, service] : m_services)
+        fits = fits && service.pool.fitsSlots();
+    if (!fits)
+        return;
     m_acknowledgedTable = version;
     m_holders.acknowledgeOwn();
     applyFractions(now);
@@ -906,19 +941,17 @@
     std::visit(
             Overloaded{
                     [&](const BudgetAskMessage &message) {
-                        const auto gate = m_gates.find(message.budget);
-                        if (gate == m_gates.end())
+                        BudgetShare *share = findShare(message.budget);
+                        if (share == nullptr)
                             return;
                         m_peer.post(FrontPayloadTo{
-                                from.vm,
-                                BudgetGrantMessage{ message.budget,
-                                                    gate->second->share().answerAsk(
-                                                            from.vm, message.ask, now) } });
+                                from.vm, BudgetGrantMessage{
+                                                 message.budget,
+                                                 share->answerAsk(from.vm, message.ask, now) } });
                     },
                     [&](const BudgetGrantMessage &message) {
-                        const auto gate = m_gates.find(message.budget);
-                        if (gate != m_gates.end())
-                            gate->second->share().acceptGrant(from.vm, message.grant, now);
+                        if (BudgetShare *share = findShare(message.budget))
+                            share->acceptGrant(from.vm, message.grant, now);
                     },
                     [&](const CrashReport &report) { m_crashes.note(report, now); },
                     [&](const SlotAskMessage &message) {
@@ -953,10 +986,86 @@
 
 void RequestPipeline::sendAsks(Time now)
 {
-    for (auto &[organisation, gate] : m_gates) {
-        for (BudgetShare::AskTo &ask : gate->share().planAsks(gate->waiting(), now))
-            m_peer.post(FrontPayloadTo{ ask.holder,
-                                        BudgetAskMessage{ organisation, std::move(ask.ask) } });
+    const auto ask = [&](const std::string &name, BudgetShare &share, double waiting) {
+        for (BudgetShare::AskTo &entry : share.planAsks(waiting, now))
+            m_peer.post(
+                    FrontPayloadTo{ entry.holder, BudgetAskMessage{ name, std::move(entry.ask) } });
+    };
+    for (auto &[organisation, gate] : m_gates)
+        ask(organisation, gate->share(), gate->waiting());
+    std::map<const LinkPacer *, int> waitingReads;
+    for (const auto &[id, exchange] : m_exchanges) {
+        if (exchange->linkPaused)
+            ++waitingReads[answerPacer(*exchange)];
+        if (exchange->bodyPaced)
+            ++waitingReads[bodyPacer(*exchange)];
+    }
+    for (auto &[name, pacer] : m_pacers)
+        ask(name, pacer->share(), pacer->missing(waitingReads[pacer.get()]));
+}
+
+// ---- Links between regions
+
+template <typename Visit>
+void RequestPipeline::forEachShare(Visit visit)
+{
+    for (auto &[organisation, gate] : m_gates)
+        visit(organisation, gate->share());
+    for (auto &[name, pacer] : m_pacers)
+        visit(name, pacer->share());
+}
+
+BudgetShare *RequestPipeline::findShare(const std::string &name)
+{
+    if (const auto gate = m_gates.find(name); gate != m_gates.end())
+        return &gate->second->share();
+    if (const auto pacer = m_pacers.find(name); pacer != m_pacers.end())
+        return &pacer->second->share();
+    return nullptr;
+}
+
+LinkPacer *RequestPipeline::findPacer(const std::string &from, const std::string &to)
+{
+    const auto pacer = m_pacers.find(linkBudget(from, to));
+    return from == to || pacer == m_pacers.end() ? nullptr : pacer->second.get();
+}
+
+LinkPacer *RequestPipeline::answerPacer(const Exchange &exchange)
+{
+    const Target *target = findTarget(*exchange.service, exchange.slot.target);
+    return target == nullptr ? nullptr : findPacer(target->region, m_settings.region);
+}
+
+LinkPacer *RequestPipeline::bodyPacer(const Exchange &exchange)
+{
+    const Target *target = findTarget(*exchange.service, exchange.slot.target);
+    return target == nullptr ? nullptr : findPacer(m_settings.region, target->region);
+}
+
+// Permits the next read of an answer, or stops reading until there are tokens.
+void RequestPipeline::paceAnswer(Exchange &exchange, Time now)
+{
+    LinkPacer *pacer = answerPacer(exchange);
+    if (pacer == nullptr || !exchange.attempt || exchange.linkPermitted)
+        return;
+    exchange.linkPermitted = pacer->permitRead(now);
+    const bool paused = !exchange.linkPermitted;
+    if (paused == exchange.linkPaused)
+        return;
+    exchange.linkPaused = paused;
+    if (!exchange.answerPaused)
+        m_upstreams->pause(*exchange.attempt, paused);
+}
+
+void RequestPipeline::continuePaced(Time now)
+{
+    for (const auto &[id, exchange] : m_exchanges) {
+        if (exchange->linkPaused)
+            paceAnswer(*exchange, now);
+        if (exchange->bodyPaced && exchange->attempt) {
+            exchange->bodyPaced = false;
+            m_upstreams->bodyReady(*exchange->attempt);
+        }
     }
 }
 
@@ -1002,6 +1111,7 @@
                        "organisation \"" + organisation + "\" is over its rate");
         }
     }
+    continuePaced(now);
     sendAsks(now);
     resendFinishes(now);
     std::vector<CallerServer::RequestId> late;
--- a/src/http/RequestPipeline.h
+++ b/src/http/RequestPipeline.h
@@ -7,6 +7,7 @@
 #include "decide/CrashList.h"
 #include "decide/FairQueue.h"
 #include "decide/HolderTable.h"
+#include "decide/LinkPacer.h"
 #include "decide/RateGate.h"
 #include "decide/RetryBudget.h"
 #include "decide/TargetPool.h"
@@ -111,6 +112,16 @@
     void erase(CallerServer::RequestId id);
     void onDeadline(Exchange &exchange, Time now);
 
+    // The pacer of a link between two regions; null within a region or without a cap.
+    LinkPacer *findPacer(const std::string &from, const std::string &to);
+    LinkPacer *answerPacer(const Exchange &exchange);
+    LinkPacer *bodyPacer(const Exchange &exchange);
+    void paceAnswer(Exchange &exchange, Time now);
+    void continuePaced(Time now);
+    // The budget of an organisation or a link.
+    BudgetShare *findShare(const std::string &name);
+    template <typename Visit>
+    void forEachShare(Visit visit);
     void applyFractions(Time now);
     void applyTargets(Time now);
     void acknowledgeHolders(Time now);
@@ -136,7 +147,8 @@
     bool m_refusing = false;
     Time m_lastReport;
 
-    std::map<std::string, std::unique_ptr<RateGate>> m_gates; // by organisation
+    std::map<std::string, std::unique_ptr<RateGate>> m_gates;   // by organisation
+    std::map<std::string, std::unique_ptr<LinkPacer>> m_pacers; // by budget name
     std::map<std::string, ServiceState> m_services;
     RetryBudget m_retries;
     CrashList m_crashes;
--- a/src/http/UpstreamClient.cpp
+++ b/src/http/UpstreamClient.cpp
@@ -6,6 +6,8 @@
 
 #include <libwebsockets.h>
 
+#include <sys/socket.h>
+
 #include <array>
 #include <charconv>
 
@@ -28,6 +30,7 @@
 
 constexpr std::size_t readBytes = 64 * 1024;
 constexpr std::size_t writeBytes = 64 * 1024;
+constexpr int boundedBytes = 64 * 1024;
 
 } // namespace
 
@@ -147,6 +150,9 @@
     switch (reason) {
     case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER:
         attempt.sent = true;
+        if (attempt.request.boundsReceiving)
+            ::setsockopt(lws_get_socket_fd(connection), SOL_SOCKET, SO_RCVBUF, &boundedBytes,
+                         sizeof boundedBytes);
         return appendHeaders(connection, attempt, in, length);
     case LWS_CALLBACK_CLIENT_HTTP_WRITEABLE:
         return writeBody(connection, attempt);
--- a/src/http/UpstreamClient.h
+++ b/src/http/UpstreamClient.h
@@ -28,6 +28,7 @@
     std::string host;
     std::vector<HttpHeader> headers;
     std::optional<std::size_t> contentLength;
+    bool boundsReceiving = false; // the kernel keeps few unread bytes of the answer
 };
 
 // The head of an upstream's answer.
--- a/tests/Fleet.cpp
+++ b/tests/Fleet.cpp
@@ -96,8 +96,10 @@
         targets.push_back(
                 { { "name", "target-" + std::to_string(i) },
                   { "address", m_upstreams[static_cast<std::size_t>(i)]->address().toString() },
-                  { "region", "north" },
-                  { "zone", i % 2 == 0 ? "north-a" : "north-b" } });
+                  { "region", options.targetRegion },
+                  { "zone", options.targetRegion == "south" ? "south-a"
+                            : i % 2 == 0                    ? "north-a"
+                                                            : "north-b" } });
     const json nobody = { { "name", "nobody" },
                           { "address", freeAddress().toString() },
                           { "region", "north" },
@@ -130,6 +132,13 @@
              { "regions",
                { { { "name", "north" }, { "zones", { "north-a", "north-b" } } },
                  { { "name", "south" }, { "zones", { "south-a" } } } } },
+             { "links",
+               { { { "from", "north" },
+                   { "to", "south" },
+                   { "bytesPerSecond", options.linkBytesPerSecond } },
+                 { { "from", "south" },
+                   { "to", "north" },
+                   { "bytesPerSecond", options.linkBytesPerSecond } } } },
              { "organisations",
                { organisation("alpha", alphaKey), organisation("beta", betaKey),
                  organisation("small", smallKey) } },
--- a/tests/Fleet.h
+++ b/tests/Fleet.h
@@ -29,6 +29,8 @@
         int targets = 3;
         int slots = 4;
         std::size_t maxBodyBytes = 2'000'000;
+        std::string targetRegion = "north"; // or "south", where no VM is
+        double linkBytesPerSecond = 1e9;    // from and to "south"
     };
 
     static constexpr const char *alphaKey = "alpha-key-0123456789";
--- a/tests/FleetTest.cpp
+++ b/tests/FleetTest.cpp
@@ -170,3 +170,25 @@
 }
 
 } // namespace basildeck::test
+
+namespace basildeck::test {
+
+TEST_CASE("an answer from another region comes whole over a capped link")
+{
+    Fleet fleet({ .vms = 1, .targets = 2, .targetRegion = "south", .linkBytesPerSecond = 20e6 });
+    const auto answer
+            = standin::fetch(fleet.caller(), keyed("GET", "/main?bytes=6000000", Fleet::alphaKey));
+    REQUIRE(answer);
+    CHECK(answer->head.status() == 200);
+    CHECK(answer->whole);
+    CHECK(answer->body.size() == 6'000'000);
+    const std::string body(1'900'000, 'u');
+    const auto upload
+            = standin::fetch(fleet.caller(), keyed("PUT", "/main", Fleet::alphaKey, {}, body));
+    REQUIRE(upload);
+    CHECK(upload->body.find("\"received\":1900000") != std::string::npos);
+    for (int i = 0; i < 20; ++i)
+        CHECK(standin::fetch(fleet.caller(), keyed("GET", "/main", Fleet::alphaKey))->whole);
+}
+
+} // namespace basildeck::test
