--- a/src/peer/PeerTask.cpp
+++ b/src/peer/PeerTask.cpp
@@ -391,7 +391,7 @@
         auto patch = m_config.patchFrom(request->configVersion);
         answer.isPatch = patch.has_value();
         answer.baseVersion = request->configVersion;
-        answer.config = patch ? std::move(*patch) : *m_config.text();
+        answer.config = patch.value_or(*m_config.text());
     }
     return encodeSyncAnswer(answer);
 }
--- a/src/store/StoreTask.cpp
+++ b/src/store/StoreTask.cpp
@@ -224,7 +224,7 @@
     candidates.gone = m_gone;
     candidates.regions = m_roles.regions;
     if (auto table = proposeHolders(m_holders, m_roles.tableComplete, candidates))
-        writeHolders(std::move(*table));
+        writeHolders(*table);
 }
 
 void StoreTask::writeHolders(const HolderTable &table)
