Fleet-wide limits and the client side of claims have classes of their own

Change: FleetLimits (rates, links, table of holders) and ClaimClient moved out; waiting reads are counted once a tick and no longer for every request that waits.

--- /dev/null
+++ b/src/decide/FleetLimits.cpp
@@ -0,0 +1,138 @@
+#include "decide/FleetLimits.h"
+
+#include "core/Hash.h"
+
+namespace basildeck {
+
+namespace {
+
+// The configuration refuses organisations with such a name.
+std::string linkBudget(const std::string &from, const std::string &to)
+{
+    return "link:" + from + ">" + to;
+}
+
+} // namespace
+
+FleetLimits::FleetLimits(std::string vm, std::uint64_t processNumber, Time processStart)
+    : m_vm(std::move(vm))
+    , m_processNumber(processNumber)
+    , m_processStart(processStart)
+    , m_holders(m_vm)
+{}
+
+std::uint64_t FleetLimits::nonceSeed(const std::string &budget) const
+{
+    return stableHash(m_vm + budget, std::to_string(m_processNumber));
+}
+
+void FleetLimits::setConfig(const FleetConfig &config, Time now)
+{
+    for (const Organisation &organisation : config.organisations) {
+        const BudgetLimit limit{ organisation.rate, organisation.burst };
+        auto &gate = m_gates[organisation.name];
+        if (!gate)
+            gate = std::make_unique<RateGate>(limit, nonceSeed(organisation.name), m_processStart);
+        gate->share().setLimit(limit, now);
+    }
+    for (const Link &link : config.links) {
+        const std::string name = linkBudget(link.from, link.to);
+        auto &pacer = m_pacers[name];
+        if (!pacer)
+            pacer = std::make_unique<LinkPacer>(link.bytesPerSecond, nonceSeed(name),
+                                                m_processStart);
+        pacer->setCap(link.bytesPerSecond, now);
+    }
+    applyFractions(now);
+}
+
+void FleetLimits::setTable(const HolderTable &table, Time now)
+{
+    m_holders.setTable(table);
+    applyFractions(now);
+}
+
+void FleetLimits::acknowledge(const std::string &vm, std::uint64_t version, Time now)
+{
+    m_holders.acknowledge(vm, version);
+    applyFractions(now);
+}
+
+void FleetLimits::acknowledgeOwn(Time now)
+{
+    acknowledge(m_vm, m_holders.table().version, now);
+}
+
+template <typename Visit>
+void FleetLimits::forEachShare(Visit visit)
+{
+    for (auto &[organisation, gate] : m_gates)
+        visit(organisation, gate->share());
+    for (auto &[name, pacer] : m_pacers)
+        visit(name, pacer->share());
+}
+
+void FleetLimits::applyFractions(Time now)
+{
+    const auto others = otherHolders();
+    forEachShare([&](const std::string &, BudgetShare &share) {
+        share.setFraction(m_holders.fraction(), now);
+        share.setHolders(others);
+    });
+}
+
+bool FleetLimits::fits(Time now)
+{
+    bool fits = true;
+    forEachShare([&](const std::string &, BudgetShare &share) {
+        fits = fits && share.fitsFraction(now);
+    });
+    return fits;
+}
+
+std::vector<std::string> FleetLimits::otherHolders() const
+{
+    std::vector<std::string> holders = m_holders.holders();
+    std::erase(holders, m_vm);
+    return holders;
+}
+
+RateGate *FleetLimits::gate(const std::string &organisation) const
+{
+    const auto gate = m_gates.find(organisation);
+    return gate == m_gates.end() ? nullptr : gate->second.get();
+}
+
+LinkPacer *FleetLimits::pacer(const std::string &from, const std::string &to) const
+{
+    const auto pacer = m_pacers.find(linkBudget(from, to));
+    return from == to || pacer == m_pacers.end() ? nullptr : pacer->second.get();
+}
+
+BudgetShare *FleetLimits::share(const std::string &budget) const
+{
+    if (RateGate *found = gate(budget))
+        return &found->share();
+    const auto pacer = m_pacers.find(budget);
+    return pacer == m_pacers.end() ? nullptr : &pacer->second->share();
+}
+
+std::vector<FleetLimits::AskTo>
+FleetLimits::planAsks(const std::map<const LinkPacer *, int> &waitingReads, Time now)
+{
+    std::vector<AskTo> asks;
+    const auto plan = [&](const std::string &name, BudgetShare &share, double waiting) {
+        for (BudgetShare::AskTo &entry : share.planAsks(waiting, now))
+            asks.push_back({ entry.holder, name, std::move(entry.ask) });
+    };
+    for (auto &[organisation, gate] : m_gates)
+        plan(organisation, gate->share(), gate->waiting());
+    for (auto &[name, pacer] : m_pacers) {
+        const auto waiting = waitingReads.find(pacer.get());
+        plan(name, pacer->share(),
+             pacer->missing(waiting == waitingReads.end() ? 0 : waiting->second));
+    }
+    return asks;
+}
+
+} // namespace basildeck
--- a/src/http/RequestPipeline.cpp
+++ b/src/http/RequestPipeline.cpp
@@ -50,12 +50,6 @@
     return exchange.organisation.empty() ? openOrganisation : exchange.organisation;
 }
 
-// The configuration refuses organisations with such a name.
-std::string linkBudget(const std::string &from, const std::string &to)
-{
-    return "link:" + from + ">" + to;
-}
-
 HttpAnswer refusalAnswer(ErrorKind kind, RunState run, const std::string &detail)
 {
     const ErrorAnswer &row = errorAnswer(kind);
@@ -82,7 +76,8 @@
     , m_metrics(metrics)
     , m_processStart(processStart)
     , m_processNumber(processNumber)
-    , m_holders(settings.vmName)
+    , m_limits(settings.vmName, processNumber, processStart)
+    , m_claims(settings.vmName, processNumber, peer)
 {}
 
 RequestPipeline::~RequestPipeline() = default;
@@ -117,7 +112,7 @@
     const std::string route = exchange.route == nullptr ? "" : exchange.route->name;
     m_metrics.countRefusal(kind, route, exchange.organisation);
     const RunState run = exchange.mayHaveRun ? RunState::Unknown : errorAnswer(kind).run;
-    finishClaim(exchange);
+    m_claims.finish(exchange, Clock::now());
     const CallerServer::RequestId id = exchange.id;
     m_callers->answer(id, refusalAnswer(kind, run, detail));
     erase(id);
@@ -127,52 +122,18 @@
 {
     m_metrics.countCut(exchange.route->name, exchange.organisation);
     exchange.outcome = {};
-    finishClaim(exchange);
+    m_claims.finish(exchange, Clock::now());
     m_callers->cut(exchange.id);
     erase(exchange.id);
 }
 
-// Records the outcome of a claim, or gives it back if the request was certainly not run.
-void RequestPipeline::finishClaim(Exchange &exchange)
-{
-    if (!exchange.claim)
-        return;
-    const std::string owner = claimOwner(exchange.claimKey);
-    const Time now = Clock::now();
-    if (exchange.claimGranted && exchange.mayHaveRun) {
-        const ClaimFinish finish{ *exchange.claim, exchange.claimKey, exchange.outcome };
-        m_unconfirmed[exchange.id] = { finish, now, now };
-        m_peer.post(StorePayloadTo{ owner, finish });
-    } else {
-        if (!exchange.claimGranted)
-            m_endedUndecided[exchange.id] = now;
-        m_peer.post(StorePayloadTo{ owner, ClaimRelease{ *exchange.claim, exchange.claimKey } });
-    }
-    exchange.claim.reset();
-}
-
-// A repeat of the request is told its outcome only when that is recorded.
-void RequestPipeline::resendFinishes(Time now)
-{
-    std::erase_if(m_unconfirmed,
-                  [&](const auto &entry) { return now - entry.second.first > claimMemory; });
-    std::erase_if(m_endedUndecided,
-                  [&](const auto &entry) { return now - entry.second > claimMemory; });
-    for (auto &[id, unconfirmed] : m_unconfirmed) {
-        if (now - unconfirmed.sent < claimResend)
-            continue;
-        unconfirmed.sent = now;
-        m_peer.post(StorePayloadTo{ claimOwner(unconfirmed.finish.key), unconfirmed.finish });
-    }
-}
-
 // Stops whatever the exchange waits for, without an answer.
 void RequestPipeline::abandon(Exchange &exchange, Time now)
 {
     switch (exchange.stage) {
     case Stage::Rate:
-        if (const auto gate = m_gates.find(exchange.organisation); gate != m_gates.end())
-            gate->second->forget(exchange.id);
+        if (RateGate *gate = m_limits.gate(exchange.organisation))
+            gate->forget(exchange.id);
         break;
     case Stage::Queue:
         m_services.at(exchange.service->name).queue.forget(exchange.id);
@@ -194,7 +155,7 @@
         return;
     abandon(*exchange, Clock::now());
     exchange->outcome = {};
-    finishClaim(*exchange);
+    m_claims.finish(*exchange, Clock::now());
     const std::string service = exchange->service->name;
     erase(id);
     pump(service, Clock::now());
@@ -324,12 +285,12 @@
 
 void RequestPipeline::startRate(Exchange &exchange, Time now)
 {
-    const auto gate = m_gates.find(exchange.organisation);
-    if (gate == m_gates.end()) {
+    RateGate *gate = m_limits.gate(exchange.organisation);
+    if (gate == nullptr) {
         onAdmitted(exchange, now);
         return;
     }
-    switch (gate->second->admit(exchange.id, now, exchange.deadline)) {
+    switch (gate->admit(exchange.id, now, exchange.deadline)) {
     case RateGate::Verdict::Admitted:
         onAdmitted(exchange, now);
         return;
@@ -338,7 +299,7 @@
                "organisation \"" + exchange.organisation + "\" is over its rate");
         return;
     case RateGate::Verdict::Waiting:
-        sendAsks(now);
+        sendAsks({}, now);
         return;
     }
 }
@@ -428,53 +389,17 @@
 
 // ---- Claim
 
-std::string RequestPipeline::claimOwner(const std::string &key) const
-{
-    std::vector<std::string> live;
-    for (const Member &member : m_members) {
-        if (member.state == MemberState::Alive)
-            live.push_back(member.vm);
-    }
-    if (live.empty())
-        return m_settings.vmName;
-    return live[rendezvousPick(ClaimBook::bucketName(ClaimBook::bucketOf(key)), live)];
-}
-
 void RequestPipeline::startClaim(Exchange &exchange, Time now)
 {
     exchange.stage = Stage::Claim;
-    exchange.claim = ClaimId{ m_settings.vmName, m_processNumber, exchange.id };
-    exchange.claimKey
-            = sha256Hex(exchange.organisation + '\n' + exchange.head.idempotencyKey).substr(0, 32);
-    exchange.deadline = std::min(exchange.deadline, now + claimTimeout);
-    sendClaim(exchange, now);
-}
-
-void RequestPipeline::sendClaim(Exchange &exchange, Time now)
-{
-    exchange.claimSent = now;
-    m_peer.post(
-            StorePayloadTo{ claimOwner(exchange.claimKey),
-                            ClaimBegin{ *exchange.claim, exchange.claimKey, exchange.fingerprint,
-                                        exchange.config->defaults.claimRetentionSeconds } });
+    exchange.deadline = std::min(exchange.deadline, now + ClaimClient::timeout);
+    m_claims.begin(exchange, now);
 }
 
 void RequestPipeline::onClaimDecision(const std::string &owner, const ClaimDecision &decision,
                                       Time now)
 {
-    const bool ours
-            = decision.id.vm == m_settings.vmName && decision.id.incarnation == m_processNumber;
-    if (!ours)
-        return;
-    if (decision.verdict == ClaimVerdict::Recorded) {
-        m_unconfirmed.erase(decision.id.sequence);
-        return;
-    }
-    Exchange *exchange = find(decision.id.sequence);
-    // Only a request that ended before any grant is known never to have been sent on.
-    if (decision.verdict == ClaimVerdict::Granted
-        && m_endedUndecided.contains(decision.id.sequence))
-        m_peer.post(StorePayloadTo{ owner, ClaimRelease{ decision.id, decision.key } });
+    Exchange *exchange = find(m_claims.onDecision(owner, decision));
     if (exchange == nullptr || exchange->stage != Stage::Claim)
         return;
     switch (decision.verdict) {
@@ -546,8 +471,8 @@
         return;
     }
     exchange.stage = Stage::Queue;
-    const auto gate = m_gates.find(exchange.organisation);
-    const bool excess = gate != m_gates.end() && gate->second->inExcess();
+    const RateGate *gate = m_limits.gate(exchange.organisation);
+    const bool excess = gate != nullptr && gate->inExcess();
     if (!state.queue.push(exchange.id, queueName(exchange), exchange.deadline,
                           excess ? FairQueue::Band::Excess : FairQueue::Band::InRate)) {
         refuse(exchange, ErrorKind::QueueFull,
@@ -736,7 +661,7 @@
     case AttemptEnd::Whole: {
         endAttempt(*exchange, RunOutcome::Answered, now);
         m_crashes.answered(exchange->fingerprint);
-        finishClaim(*exchange);
+        m_claims.finish(*exchange, Clock::now());
         m_metrics.noteLatency(exchange->route->name, now - exchange->arrived);
         const CallerServer::RequestId request = exchange->id;
         m_callers->finishAnswer(request);
@@ -812,32 +737,14 @@
     for (const Organisation &organisation : config.config->organisations) {
         for (const std::string &hash : organisation.keyHashes)
             m_organisationByKey[hash] = organisation.name;
-        auto &gate = m_gates[organisation.name];
-        const BudgetLimit limit{ organisation.rate, organisation.burst };
-        if (!gate)
-            gate = std::make_unique<RateGate>(limit,
-                                              stableHash(m_settings.vmName + organisation.name,
-                                                         std::to_string(m_processNumber)),
-                                              m_processStart);
-        gate->share().setLimit(limit, now);
-    }
-    for (const Link &link : config.config->links) {
-        const std::string name = linkBudget(link.from, link.to);
-        auto &pacer = m_pacers[name];
-        if (!pacer)
-            pacer = std::make_unique<LinkPacer>(
-                    link.bytesPerSecond,
-                    stableHash(m_settings.vmName + name, std::to_string(m_processNumber)),
-                    m_processStart);
-        pacer->setCap(link.bytesPerSecond, now);
     }
+    m_limits.setConfig(*config.config, now);
     for (const Service &service : config.config->services)
         m_services.try_emplace(
                 service.name,
                 ServiceState{ TargetPool(m_settings.region, m_settings.zone, m_processNumber),
                               {} });
     applyTargets(now);
-    applyFractions(now);
 
     // Requests that wait lose their place if their key was withdrawn.
     std::vector<CallerServer::RequestId> withdrawn;
@@ -854,39 +761,27 @@
 
 void RequestPipeline::setMembers(const MemberList &members)
 {
-    m_members = members;
+    m_claims.setMembers(members);
 }
 
 void RequestPipeline::setHolders(const HolderTable &table, Time now)
 {
-    m_holders.setTable(table);
-    applyFractions(now);
+    m_limits.setTable(table, now);
     applyTargets(now);
 }
 
 void RequestPipeline::acknowledgeHolder(const HolderAcknowledged &acknowledged, Time now)
 {
-    m_holders.acknowledge(acknowledged.vm, acknowledged.version);
-    applyFractions(now);
+    m_limits.acknowledge(acknowledged.vm, acknowledged.version, now);
     applyTargets(now);
 }
 
-void RequestPipeline::applyFractions(Time now)
-{
-    std::vector<std::string> holders = m_holders.holders();
-    std::erase(holders, m_settings.vmName);
-    forEachShare([&](const std::string &, BudgetShare &share) {
-        share.setFraction(m_holders.fraction(), now);
-        share.setHolders(holders);
-    });
-}
-
 // Sets the slots that this VM may use: the smaller of its two parts while a change is under way.
 void RequestPipeline::applyTargets(Time now)
 {
     if (!m_config.config)
         return;
-    const HolderTable &table = m_holders.table();
+    const HolderTable &table = m_limits.holders().table();
     const auto ownersOf = [&](const std::vector<std::string> &list) {
         std::vector<SlotOwner> owners;
         for (const std::string &vm : list) {
@@ -897,7 +792,7 @@
     };
     const auto before = ownersOf(table.before);
     const auto after = ownersOf(table.after);
-    const bool complete = m_holders.complete();
+    const bool complete = m_limits.holders().complete();
     for (const Service &service : m_config.config->services) {
         std::vector<TargetSpec> specs;
         for (const Target &target : service.targets) {
@@ -919,20 +814,16 @@
 // Tells the others that this VM keeps to the table, once it does.
 void RequestPipeline::acknowledgeHolders(Time now)
 {
-    const std::uint64_t version = m_holders.table().version;
+    const std::uint64_t version = m_limits.holders().table().version;
     if (version == m_acknowledgedTable)
         return;
-    bool fits = true;
-    forEachShare([&](const std::string &, BudgetShare &share) {
-        fits = fits && share.fitsFraction(now);
-    });
+    bool fits = m_limits.fits(now);
     for (const auto &[name, service] : m_services)
         fits = fits && service.pool.fitsSlots();
     if (!fits)
         return;
     m_acknowledgedTable = version;
-    m_holders.acknowledgeOwn();
-    applyFractions(now);
+    m_limits.acknowledgeOwn(now);
     applyTargets(now);
 }
 
@@ -941,7 +832,7 @@
     std::visit(
             Overloaded{
                     [&](const BudgetAskMessage &message) {
-                        BudgetShare *share = findShare(message.budget);
+                        BudgetShare *share = m_limits.share(message.budget);
                         if (share == nullptr)
                             return;
                         m_peer.post(FrontPayloadTo{
@@ -950,7 +841,7 @@
                                                  share->answerAsk(from.vm, message.ask, now) } });
                     },
                     [&](const BudgetGrantMessage &message) {
-                        if (BudgetShare *share = findShare(message.budget))
+                        if (BudgetShare *share = m_limits.share(message.budget))
                             share->acceptGrant(from.vm, message.grant, now);
                     },
                     [&](const CrashReport &report) { m_crashes.note(report, now); },
@@ -984,62 +875,25 @@
             from.payload);
 }
 
-void RequestPipeline::sendAsks(Time now)
+void RequestPipeline::sendAsks(const std::map<const LinkPacer *, int> &waitingReads, Time now)
 {
-    const auto ask = [&](const std::string &name, BudgetShare &share, double waiting) {
-        for (BudgetShare::AskTo &entry : share.planAsks(waiting, now))
-            m_peer.post(
-                    FrontPayloadTo{ entry.holder, BudgetAskMessage{ name, std::move(entry.ask) } });
-    };
-    for (auto &[organisation, gate] : m_gates)
-        ask(organisation, gate->share(), gate->waiting());
-    std::map<const LinkPacer *, int> waitingReads;
-    for (const auto &[id, exchange] : m_exchanges) {
-        if (exchange->linkPaused)
-            ++waitingReads[answerPacer(*exchange)];
-        if (exchange->bodyPaced)
-            ++waitingReads[bodyPacer(*exchange)];
-    }
-    for (auto &[name, pacer] : m_pacers)
-        ask(name, pacer->share(), pacer->missing(waitingReads[pacer.get()]));
+    for (FleetLimits::AskTo &ask : m_limits.planAsks(waitingReads, now))
+        m_peer.post(
+                FrontPayloadTo{ ask.holder, BudgetAskMessage{ ask.budget, std::move(ask.ask) } });
 }
 
 // ---- Links between regions
 
-template <typename Visit>
-void RequestPipeline::forEachShare(Visit visit)
-{
-    for (auto &[organisation, gate] : m_gates)
-        visit(organisation, gate->share());
-    for (auto &[name, pacer] : m_pacers)
-        visit(name, pacer->share());
-}
-
-BudgetShare *RequestPipeline::findShare(const std::string &name)
-{
-    if (const auto gate = m_gates.find(name); gate != m_gates.end())
-        return &gate->second->share();
-    if (const auto pacer = m_pacers.find(name); pacer != m_pacers.end())
-        return &pacer->second->share();
-    return nullptr;
-}
-
-LinkPacer *RequestPipeline::findPacer(const std::string &from, const std::string &to)
-{
-    const auto pacer = m_pacers.find(linkBudget(from, to));
-    return from == to || pacer == m_pacers.end() ? nullptr : pacer->second.get();
-}
-
 LinkPacer *RequestPipeline::answerPacer(const Exchange &exchange)
 {
     const Target *target = findTarget(*exchange.service, exchange.slot.target);
-    return target == nullptr ? nullptr : findPacer(target->region, m_settings.region);
+    return target == nullptr ? nullptr : m_limits.pacer(target->region, m_settings.region);
 }
 
 LinkPacer *RequestPipeline::bodyPacer(const Exchange &exchange)
 {
     const Target *target = findTarget(*exchange.service, exchange.slot.target);
-    return target == nullptr ? nullptr : findPacer(m_settings.region, target->region);
+    return target == nullptr ? nullptr : m_limits.pacer(m_settings.region, target->region);
 }
 
 // Permits the next read of an answer, or stops reading until there are tokens.
@@ -1057,16 +911,21 @@
         m_upstreams->pause(*exchange.attempt, paused);
 }
 
-void RequestPipeline::continuePaced(Time now)
+std::map<const LinkPacer *, int> RequestPipeline::continuePaced(Time now)
 {
+    std::map<const LinkPacer *, int> waitingReads;
     for (const auto &[id, exchange] : m_exchanges) {
         if (exchange->linkPaused)
             paceAnswer(*exchange, now);
         if (exchange->bodyPaced && exchange->attempt) {
             exchange->bodyPaced = false;
             m_upstreams->bodyReady(*exchange->attempt);
+            ++waitingReads[bodyPacer(*exchange)];
         }
+        if (exchange->linkPaused)
+            ++waitingReads[answerPacer(*exchange)];
     }
+    return waitingReads;
 }
 
 // Borrows slots for requests that find none here, and gives back those without work.
@@ -1078,8 +937,7 @@
         m_peer.post(FrontPayloadTo{ back.lender, SlotReturnMessage{ name, back.back } });
     if (state.queue.empty())
         return;
-    std::vector<std::string> lenders = m_holders.holders();
-    std::erase(lenders, m_settings.vmName);
+    const std::vector<std::string> lenders = m_limits.otherHolders();
     if (auto ask = borrower.planAsk(static_cast<int>(state.queue.size()), lenders, now))
         m_peer.post(FrontPayloadTo{ ask->lender, SlotAskMessage{ name, ask->ask } });
 }
@@ -1099,7 +957,7 @@
 
 void RequestPipeline::tick(Time now)
 {
-    for (auto &[organisation, gate] : m_gates) {
+    for (const auto &[organisation, gate] : m_limits.gates()) {
         for (const RateGate::Decision &decision : gate->poll(now)) {
             Exchange *exchange = find(decision.id);
             if (exchange == nullptr)
@@ -1111,15 +969,14 @@
                        "organisation \"" + organisation + "\" is over its rate");
         }
     }
-    continuePaced(now);
-    sendAsks(now);
-    resendFinishes(now);
+    sendAsks(continuePaced(now), now);
+    m_claims.tick(now);
     std::vector<CallerServer::RequestId> late;
     for (const auto &[id, exchange] : m_exchanges) {
         if (exchange->deadline <= now)
             late.push_back(id);
-        else if (exchange->stage == Stage::Claim && now - exchange->claimSent > claimResend)
-            sendClaim(*exchange, now);
+        else if (exchange->stage == Stage::Claim)
+            m_claims.resend(*exchange, now);
     }
     for (const CallerServer::RequestId id : late) {
         if (Exchange *exchange = find(id))
@@ -1140,14 +997,14 @@
 
 bool RequestPipeline::ready(Time now) const
 {
-    return m_config.config && !m_refusing && m_holders.table().version != 0
+    return m_config.config && !m_refusing && m_limits.holders().table().version != 0
            && now - m_processStart > BudgetShare::startGuard;
 }
 
 json RequestPipeline::status(Time now)
 {
     json budgets = json::object();
-    for (auto &[organisation, gate] : m_gates)
+    for (const auto &[organisation, gate] : m_limits.gates())
         budgets[organisation] = {
             { "rate", gate->share().limit().rate },   { "burst", gate->share().limit().burst },
             { "fraction", gate->share().fraction() }, { "tokens", gate->share().available(now) },
@@ -1169,10 +1026,10 @@
     return { { "configVersion", m_config.version },
              { "ready", ready(now) },
              { "holderTable",
-               { { "version", m_holders.table().version },
+               { { "version", m_limits.holders().table().version },
                  { "acknowledged", m_acknowledgedTable },
-                 { "complete", m_holders.complete() },
-                 { "holders", m_holders.holders() } } },
+                 { "complete", m_limits.holders().complete() },
+                 { "holders", m_limits.holders().holders() } } },
              { "keysServedForMs", std::max<long>(0, serveLeft) },
              { "openRequests", m_exchanges.size() },
              { "quarantined", m_crashes.quarantined() },
@@ -1204,9 +1061,8 @@
         return result;
     }
     result["organisation"] = probe.organisation;
-    const auto gate = m_gates.find(probe.organisation);
-    if (gate != m_gates.end())
-        result["tokensHere"] = gate->second->share().available(now);
+    if (RateGate *gate = m_limits.gate(probe.organisation))
+        result["tokensHere"] = gate->share().available(now);
     const auto slot = m_services.at(route->service).pool.choose({}, now, now);
     result["nextTarget"] = slot ? json(slot->target) : json();
     return result;
--- a/src/http/RequestPipeline.h
+++ b/src/http/RequestPipeline.h
@@ -6,11 +6,10 @@
 #include "core/Metrics.h"
 #include "decide/CrashList.h"
 #include "decide/FairQueue.h"
-#include "decide/HolderTable.h"
-#include "decide/LinkPacer.h"
-#include "decide/RateGate.h"
+#include "decide/FleetLimits.h"
 #include "decide/RetryBudget.h"
 #include "decide/TargetPool.h"
+#include "http/ClaimClient.h"
 #include "http/Exchange.h"
 
 #include <nlohmann/json_fwd.hpp>
@@ -31,9 +30,6 @@
     static constexpr std::size_t replayBytes = 64 * 1024;
     static constexpr int maxAttempts = 3;
     static constexpr Duration progressTimeout = seconds(30);
-    static constexpr Duration claimResend = milliseconds(400);
-    static constexpr Duration claimTimeout = milliseconds(2000);
-    static constexpr Duration claimMemory = seconds(60);
 
     RequestPipeline(const Settings &settings, Mailbox<PeerMessage> &peer, Metrics &metrics,
                     Time processStart, std::uint64_t processNumber);
@@ -93,7 +89,6 @@
     void onAdmitted(Exchange &exchange, Time now);
     void continueWithBody(Exchange &exchange, Time now);
     void startClaim(Exchange &exchange, Time now);
-    void sendClaim(Exchange &exchange, Time now);
     void onClaimDecision(const std::string &owner, const ClaimDecision &decision, Time now);
     void replay(Exchange &exchange, const ClaimOutcome &outcome);
     void startQueue(Exchange &exchange, Time now);
@@ -106,28 +101,19 @@
     void noteCrash(Exchange &exchange, Time now);
     void refuse(Exchange &exchange, ErrorKind kind, const std::string &detail);
     void cut(Exchange &exchange);
-    void finishClaim(Exchange &exchange);
-    void resendFinishes(Time now);
     void abandon(Exchange &exchange, Time now);
     void erase(CallerServer::RequestId id);
     void onDeadline(Exchange &exchange, Time now);
 
-    // The pacer of a link between two regions; null within a region or without a cap.
-    LinkPacer *findPacer(const std::string &from, const std::string &to);
     LinkPacer *answerPacer(const Exchange &exchange);
     LinkPacer *bodyPacer(const Exchange &exchange);
     void paceAnswer(Exchange &exchange, Time now);
-    void continuePaced(Time now);
-    // The budget of an organisation or a link.
-    BudgetShare *findShare(const std::string &name);
-    template <typename Visit>
-    void forEachShare(Visit visit);
-    void applyFractions(Time now);
+    // Continues what waited for tokens. Returns the reads that still wait, by link.
+    std::map<const LinkPacer *, int> continuePaced(Time now);
     void applyTargets(Time now);
     void acknowledgeHolders(Time now);
-    void sendAsks(Time now);
+    void sendAsks(const std::map<const LinkPacer *, int> &waitingReads, Time now);
     void exchangeSlots(const std::string &name, ServiceState &state, Time now);
-    std::string claimOwner(const std::string &key) const;
     std::uint32_t loadPermille() const;
 
     Settings m_settings;
@@ -140,31 +126,18 @@
 
     ConfigInForce m_config;
     std::unordered_map<std::string, std::string> m_organisationByKey; // by key hash
-    MemberList m_members;
-    HolderView m_holders;
+    FleetLimits m_limits;
+    ClaimClient m_claims;
     std::uint64_t m_acknowledgedTable = 0;
     Time m_serveUntil;
     bool m_refusing = false;
     Time m_lastReport;
 
-    std::map<std::string, std::unique_ptr<RateGate>> m_gates;   // by organisation
-    std::map<std::string, std::unique_ptr<LinkPacer>> m_pacers; // by budget name
     std::map<std::string, ServiceState> m_services;
     RetryBudget m_retries;
     CrashList m_crashes;
     std::unordered_map<CallerServer::RequestId, std::unique_ptr<Exchange>> m_exchanges;
     std::unordered_map<UpstreamClient::AttemptId, CallerServer::RequestId> m_attempts;
-
-    // Outcomes whose record is not yet confirmed, and requests that ended while their claim was
-    // being decided. Both by request.
-    struct Unconfirmed
-    {
-        ClaimFinish finish;
-        Time first;
-        Time sent;
-    };
-    std::map<CallerServer::RequestId, Unconfirmed> m_unconfirmed;
-    std::map<CallerServer::RequestId, Time> m_endedUndecided;
 };
 
 } // namespace basildeck
