Exceptions end at their time; messages that nobody read are gone

Cause: an exception with an end was applied until the next edit, because documents were read only when they arrived. Found while reading for code that nothing calls: nextEnd() had only a test. Change: a VM reads its document again when the next end has come; test over three VMs.

--- a/src/core/Messages.h
+++ b/src/core/Messages.h
@@ -53,13 +53,6 @@
     std::uint64_t version = 0;
 };
 
-// The platform's list of VMs.
-struct VmListChanged
-{
-    std::set<std::string> leaving;
-    std::set<std::string> gone;
-};
-
 struct StoreReached
 {};
 struct StoreFailed
@@ -179,13 +172,13 @@
     std::string text;
 };
 
-using AdminMessage = std::variant<StatusAnswer, LeaveRequested>;
+using AdminMessage = std::variant<StatusAnswer>;
 using FrontMessage
         = std::variant<ConfigInForce, MembersChanged, HolderTableChanged, HolderAcknowledged,
                        ServeUntil, FrontPayloadFrom, StatusRequest, LeaveRequested>;
 using PeerMessage
-        = std::variant<ConfigDocument, HolderTableChanged, VmListChanged, StoreReached, StoreFailed,
+        = std::variant<ConfigDocument, HolderTableChanged, StoreReached, StoreFailed,
                        FrontPayloadTo, StorePayloadTo, FrontReport, LeaveRequested, FrontDrained>;
-using StoreMessage = std::variant<RelayRoles, StorePayloadFrom, ConfigDocument, LeaveRequested>;
+using StoreMessage = std::variant<RelayRoles, StorePayloadFrom, ConfigDocument>;
 
 } // namespace basildeck
--- a/src/core/Metrics.cpp
+++ b/src/core/Metrics.cpp
@@ -89,14 +89,6 @@
     entry->accumulator(toSeconds(latency));
 }
 
-std::uint64_t Metrics::refusals(ErrorKind kind) const
-{
-    std::uint64_t sum = 0;
-    for (const auto &[key, count] : m_refusals)
-        sum += std::get<0>(key) == kind ? count : 0;
-    return sum;
-}
-
 std::string Metrics::prometheusText() const
 {
     std::ostringstream out;
--- a/src/core/Metrics.h
+++ b/src/core/Metrics.h
@@ -36,7 +36,6 @@
     void noteLatency(const std::string &route, Duration latency);
 
     std::uint64_t lookups() const { return m_lookups; }
-    std::uint64_t refusals(ErrorKind kind) const;
     // The Prometheus text format, version 0.0.4.
     std::string prometheusText() const;
 
--- a/src/peer/PeerTask.cpp
+++ b/src/peer/PeerTask.cpp
@@ -29,6 +29,11 @@
     return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(now).count());
 }
 
+std::int64_t unixSeconds()
+{
+    return std::chrono::system_clock::to_time_t(std::chrono::system_clock::now());
+}
+
 Member selfOf(const Settings &settings)
 {
     return { settings.vmName, wallClockMs(),          MemberState::Alive,   settings.region,
@@ -118,6 +123,7 @@
         return now - entry.second.sent > Membership::probeTimeout;
     });
     join(now);
+    endExceptions();
     publish(now);
     m_figures.bytesSent = m_sockets->bytesSent();
     m_figures.bytesReceived = m_sockets->bytesReceived();
@@ -184,7 +190,7 @@
                            takeConfig(document.version, std::move(document.text));
                        },
                        [&](HolderTableChanged &changed) { takeHolders(changed.table); },
-                       [&](VmListChanged &list) { m_vmList = std::move(list); },
+
                        [&](StoreReached &) { m_evidence.noteReached(now); },
                        [&](StoreFailed &) { m_evidence.noteFailed(now); },
                        [&](FrontPayloadTo &to) {
@@ -225,10 +231,9 @@
 
 void PeerTask::takeConfig(std::uint64_t version, std::shared_ptr<const std::string> text)
 {
-    const auto nowUnix = std::chrono::system_clock::to_time_t(std::chrono::system_clock::now());
     if (version <= m_config.version())
         return;
-    auto parsed = FleetConfig::parse(*text, nowUnix);
+    auto parsed = FleetConfig::parse(*text, unixSeconds());
     if (!parsed) {
         BASILDECK_ERROR(part) << "configuration version " << version
                               << " refused: " << parsed.error().detail;
@@ -236,6 +241,7 @@
     }
     m_config.add(version, text);
     m_figures.configVersion = version;
+    m_nextExceptionEnd = parsed.value().nextEnd(unixSeconds());
     m_front.post(ConfigInForce{ version,
                                 std::make_shared<const FleetConfig>(std::move(parsed.value())) });
     m_store.post(ConfigDocument{ version, std::move(text) });
@@ -243,6 +249,21 @@
     pushNews();
 }
 
+// Puts the same document in force again when one of its exceptions has ended.
+void PeerTask::endExceptions()
+{
+    if (!m_nextExceptionEnd || unixSeconds() < *m_nextExceptionEnd)
+        return;
+    auto parsed = FleetConfig::parse(*m_config.text(), unixSeconds());
+    m_nextExceptionEnd.reset();
+    if (!parsed)
+        return;
+    m_nextExceptionEnd = parsed.value().nextEnd(unixSeconds());
+    m_front.post(ConfigInForce{ m_config.version(),
+                                std::make_shared<const FleetConfig>(std::move(parsed.value())) });
+    BASILDECK_INFO(part) << "an exception has ended";
+}
+
 void PeerTask::takeHolders(const HolderTable &table)
 {
     if (table.version <= m_holders.version)
--- a/src/store/StoreTask.cpp
+++ b/src/store/StoreTask.cpp
@@ -136,7 +136,6 @@
                        [&](ConfigDocument &document) {
                            m_configVersion = std::max(m_configVersion, document.version);
                        },
-                       [&](LeaveRequested &) {},
                },
                message);
 }
@@ -216,7 +215,7 @@
         if (vm.state == "leaving")
             m_listedLeaving.insert(vm.name);
     }
-    m_peer->post(VmListChanged{ m_listedLeaving, m_gone });
+
     HolderCandidates candidates;
     candidates.live.insert(m_roles.live.begin(), m_roles.live.end());
     candidates.leaving = m_listedLeaving;
--- a/tests/FleetTest.cpp
+++ b/tests/FleetTest.cpp
@@ -119,6 +119,20 @@
         CHECK(refused.body.find("reason") != std::string::npos);
     }
 
+    SUBCASE("an exception ends at its time everywhere")
+    {
+        const auto now = std::chrono::system_clock::to_time_t(std::chrono::system_clock::now());
+        const json exception = { { "scope", "organisation" }, { "of", "alpha" },
+                                 { "setting", "rate" },       { "value", 7 },
+                                 { "reason", "a test" },      { "untilUnixSeconds", now + 3 } };
+        CHECK(fleet.admin("PUT", "/admin/v1/exceptions/slow", exception).head.status() == 200);
+        for (std::size_t vm = 0; vm < 3; ++vm)
+            Fleet::waitFor("exception ends", [&] {
+                const json state = fleet.status(vm);
+                return state["configVersion"] > 1 && state["budgets"]["alpha"]["rate"] == 5000;
+            });
+    }
+
     SUBCASE("a request that crashes upstreams reaches at most three, through whichever VM it comes")
     {
         int reached = 0;
