HTTP/2 answers arrive whole, and cut ones are seen

Cause: answers above 16 KiB came empty over HTTP/2, because one write exceeded the frame size; a cut stream was never ended towards its caller, which waited for ever. Change: writes fit a frame; a cut ends the connection. Seen with curl over TLS: 100,000 and 3,000,000 bytes gave 0 before and all after; a cut answer hung for 10 s before and ends with curl's status 18 after. Conclusion: tried by hand only; a test that speaks HTTP/2 is open.

--- a/src/http/CallerServer.cpp
+++ b/src/http/CallerServer.cpp
@@ -40,6 +40,9 @@
 namespace {
 
 constexpr std::size_t writeBytes = 64 * 1024;
+// A DATA frame of any peer holds this much (RFC 9113, section 6.5.2), with room for the library's
+// head.
+constexpr std::size_t frameBytes = 16 * 1024 - 64;
 constexpr std::size_t chunkHeadBytes = 16; // hexadecimal length and its line end
 constexpr Duration goneCheckInterval = milliseconds(100);
 constexpr unsigned int keepAliveSeconds = 60;
@@ -304,7 +307,16 @@
         return writeHead(connection, session);
     if (session.headWritten)
         return writeBody(connection, session);
-    return session.cut ? -1 : 0;
+    return session.cut ? endCut(connection, session) : 0;
+}
+
+// The library ends an HTTP/2 stream without a word to its caller, so the whole connection goes.
+int CallerServer::endCut(lws *connection, const Session &session)
+{
+    if (session.http2)
+        lws_set_timeout(lws_get_network_wsi(connection), PENDING_TIMEOUT_USER_OK,
+                        LWS_TO_KILL_ASYNC);
+    return -1;
 }
 
 int CallerServer::writeHead(lws *connection, Session &session)
@@ -356,7 +368,7 @@
     const bool bodyless = session.headRequest || isBodyless(session.streamHead->status);
     if (session.waiting() == 0 || bodyless) {
         if (session.cut)
-            return -1;
+            return endCut(connection, session);
         if (!session.finished)
             return 0;
         if (session.framing == Framing::Chunks) {
@@ -373,7 +385,7 @@
         }
         return endTransaction(connection, session);
     }
-    std::size_t part = std::min(session.waiting(), writeBytes);
+    std::size_t part = std::min(session.waiting(), session.http2 ? frameBytes : writeBytes);
     const auto allowance = lws_get_peer_write_allowance(connection);
     if (allowance == 0)
         return 0;
--- a/src/http/CallerServer.h
+++ b/src/http/CallerServer.h
@@ -83,6 +83,7 @@
     static int callback(lws *connection, int reason, void *user, void *in, std::size_t length);
     int onHead(lws *connection, void *user, std::string_view path);
     int onWriteable(lws *connection, Session &session);
+    static int endCut(lws *connection, const Session &session);
     int writeHead(lws *connection, Session &session);
     int writeBody(lws *connection, Session &session);
     int endTransaction(lws *connection, Session &session);
