A borrower no longer stays a millionth short of a token

A borrower splits what is missing by what holders could last lend; the part of an empty holder was too small to be sent, so the sum stayed just below one token for good. Change: no request asks for less than a hundredth of a token.

--- a/src/decide/BudgetShare.cpp
+++ b/src/decide/BudgetShare.cpp
@@ -14,9 +14,10 @@
 constexpr Duration firstBackoff = milliseconds(20);
 constexpr int maxBackoffDoublings = 5;
 constexpr double demandMemorySeconds = 0.5;
-constexpr double askHeadroom = 1.25;   // asked units for each unit of expected shortage
-constexpr double smallestAsk = 1e-3;   // units
-constexpr double roundingSlack = 1e-9; // units
+constexpr double askHeadroom = 1.25;    // asked units for each unit of expected shortage
+constexpr double smallestAsk = 0.01;    // units
+constexpr double smallestWeight = 1e-3; // of a holder that had nothing to lend
+constexpr double roundingSlack = 1e-9;  // units
 constexpr std::size_t maxSettled = 32;
 
 // Lends for longer than a borrower may use a grant, measured on a clock that may run faster.
@@ -220,14 +221,14 @@
             continue;
         open.push_back(&holder);
         names.push_back(name);
-        weight += std::max(holder.spare, smallestAsk);
+        weight += std::max(holder.spare, smallestWeight);
     }
     std::vector<AskTo> asks;
     for (std::size_t i = 0; i < open.size(); ++i) {
         Holder &holder = *open[i];
-        const double amount = missing * std::max(holder.spare, smallestAsk) / weight;
-        if (amount < smallestAsk)
-            continue;
+        // Never so little that rounding keeps a request waiting for the rest of its token.
+        const double part = missing * std::max(holder.spare, smallestWeight) / weight;
+        const double amount = std::max(part, smallestAsk);
         holder.pendingNonce = m_nextNonce++;
         holder.pendingAmount = amount;
         holder.askedAt = now;
