A new VM names itself until the others know it

Cause: tools/demo refused a request as over-rate through a VM that had just joined. Its asks for tokens arrived and were lent to, and no grant came back: the lenders did not know the VM and could not address it. A new VM spread news of itself a fixed number of times, into sockets that did not listen yet. Ruled out: forgotten asks while the table changes (the trace shows no answer at all). Change: for 30 s a process names itself in each message; test that loses the first hundred. Not measured again: the control traffic of the first 30 s.

--- a/src/decide/Membership.cpp
+++ b/src/decide/Membership.cpp
@@ -50,6 +50,8 @@
 Membership::Probes Membership::tick(Time now)
 {
     Probes probes;
+    m_firstTick = m_firstTick.value_or(now);
+    m_lastTick = now;
     expire(now);
     for (auto &[vm, probe] : m_probes) {
         if (probe.indirect || now - probe.sent < directTimeout)
@@ -218,6 +220,10 @@
         if (++m_rumours[vm].sends >= sendLimit())
             m_rumours.erase(vm);
     }
+    const bool named = std::any_of(updates.begin(), updates.end(),
+                                   [&](const Member &member) { return member.vm == m_self.vm; });
+    if (!named && m_lastTick - m_firstTick.value_or(m_lastTick) < introduction)
+        updates.push_back(m_self);
     return updates;
 }
 
--- a/src/decide/Membership.h
+++ b/src/decide/Membership.h
@@ -55,6 +55,9 @@
     // Lists that differ for longer than news takes to spread are compared as a whole.
     static constexpr Duration settleTime = seconds(3);
     static constexpr Duration compareInterval = seconds(5);
+    // A new process names itself in each message for this time, because its first ones may go to
+    // VMs that do not listen yet.
+    static constexpr Duration introduction = seconds(30);
     static constexpr std::size_t indirectProbes = 3;
     static constexpr std::size_t maxUpdatesInMessage = 6;
 
@@ -137,6 +140,8 @@
     std::map<std::string, Rumour> m_rumours;
     std::vector<std::string> m_probeOrder;
     std::uint64_t m_nextSequence = 1;
+    std::optional<Time> m_firstTick;
+    Time m_lastTick;
     Time m_lastProbe;
     Time m_lastDeadProbe;
     std::uint64_t m_revision = 1;
--- a/tests/DecisionTest.cpp
+++ b/tests/DecisionTest.cpp
@@ -3,6 +3,7 @@
 #include "decide/CrashList.h"
 #include "decide/EntryOrder.h"
 #include "decide/FairQueue.h"
+#include "decide/Membership.h"
 #include "decide/RetryBudget.h"
 #include "decide/StoreEvidence.h"
 #include "peer/ConfigHistory.h"
@@ -234,6 +235,22 @@
     }
 }
 
+TEST_CASE("a new VM is known to whom it talks to, although its first messages were lost")
+{
+    Member self;
+    self.vm = "new";
+    Membership membership(self, 1);
+    membership.tick(at(0));
+    for (int lost = 0; lost < 100; ++lost)
+        membership.takeUpdates("seed");
+    membership.tick(at(5000));
+    const auto updates = membership.takeUpdates("seed");
+    REQUIRE(updates.size() == 1);
+    CHECK(updates[0].vm == "new");
+    membership.tick(at(0) + Membership::introduction);
+    CHECK(membership.takeUpdates("seed").empty());
+}
+
 TEST_CASE("a borrower gets a whole token although some holders have none to lend")
 {
     // Rounding left it a millionth short, and requests for so little were not sent.
