--- a/bench/FleetBench.cpp
+++ b/bench/FleetBench.cpp
@@ -3,7 +3,12 @@
 
 #include <libwebsockets.h>
 
+#include <unistd.h>
+
+#include <algorithm>
+#include <atomic>
 #include <cstring>
+#include <fstream>
 #include <iostream>
 #include <thread>
 
@@ -121,6 +126,73 @@
     }
 }
 
+std::size_t residentBytes()
+{
+    std::ifstream stream("/proc/self/statm");
+    std::size_t total = 0;
+    std::size_t resident = 0;
+    stream >> total >> resident;
+    return resident * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+}
+
+// The most memory that was resident while a piece of work went on.
+class PeakMemory
+{
+public:
+    PeakMemory() : m_start(residentBytes()) { }
+    void sample() { m_peak = std::max(m_peak, residentBytes()); }
+    double grownMb() const
+    {
+        return m_peak > m_start ? static_cast<double>(m_peak - m_start) / 1e6 : 0;
+    }
+
+private:
+    std::size_t m_start;
+    std::size_t m_peak = 0;
+};
+
+constexpr std::size_t gibibyte = 1024UL * 1024 * 1024;
+constexpr std::size_t pauseEvery = 8UL * 1024 * 1024;
+constexpr milliseconds readerPause { 10 };
+
+void runStreaming()
+{
+    BenchFleet fleet(1, 2);
+    PeakMemory memory;
+    const auto reader = standin::RawSocket::connect(fleet.caller(0));
+    reader->setReceiveBuffer(64 * 1024);
+    reader->send(fleet.request("GET", "/main?bytes=" + std::to_string(gibibyte)));
+    std::size_t received = 0;
+    std::size_t nextPause = pauseEvery;
+    while (received < gibibyte && reader->receive()) {
+        received += reader->buffer().size();
+        reader->buffer().clear();
+        if (received < nextPause)
+            continue;
+        nextPause += pauseEvery;
+        memory.sample();
+        std::this_thread::sleep_for(readerPause);
+    }
+    std::cout << "answer: " << received << " bytes with the head, memory grew by "
+              << memory.grownMb() << " MB\n";
+
+    PeakMemory upload;
+    const auto writer = standin::RawSocket::connect(fleet.caller(0));
+    std::string head = fleet.request("PUT", "/main");
+    head.insert(head.size() - 2, "Content-Length: " + std::to_string(gibibyte) + "\r\n");
+    writer->send(head);
+    const std::string block(1024 * 1024, 'u');
+    for (std::size_t sent = 0; sent < gibibyte; sent += block.size()) {
+        if (!writer->send(block))
+            break;
+        upload.sample();
+    }
+    const auto answer = standin::readAnswer(*writer);
+    std::cout << "request body: " << (answer ? answer->body : "no answer") << ", memory grew by "
+              << upload.grownMb() << " MB\n";
+}
+
+const Register streaming("streaming", runStreaming);
 const Register lookups("lookups", runLookups);
 const Register forwarding("forwarding", runForwarding);
 
--- /dev/null
+++ b/tests/DecisionTest.cpp
@@ -0,0 +1,221 @@
+#include "core/Hash.h"
+#include "decide/CrashList.h"
+#include "decide/EntryOrder.h"
+#include "decide/FairQueue.h"
+#include "decide/RetryBudget.h"
+#include "decide/StoreEvidence.h"
+#include "peer/ConfigHistory.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <random>
+
+using namespace basildeck;
+
+namespace {
+
+Time at(long ms)
+{
+    return Time {} + seconds(1000) + milliseconds(ms);
+}
+
+} // namespace
+
+TEST_CASE("fair queue: one organisation's backlog does not delay another's request")
+{
+    FairQueue queue;
+    for (FairQueue::RequestId id = 0; id < 100; ++id)
+        CHECK(queue.push(id, "busy", at(100'000)));
+    CHECK(queue.push(1000, "calm", at(100'000)));
+    CHECK(*queue.pop() == 0);
+    CHECK(*queue.pop() == 1000);
+    CHECK(*queue.pop() == 1);
+}
+
+TEST_CASE("fair queue agrees with a naive twin on random traffic")
+{
+    constexpr unsigned seed = 99;
+    MESSAGE("seed " << seed);
+    std::mt19937 random(seed);
+    FairQueue queue;
+    // The twin serves the waiting organisation that was served longest ago.
+    std::map<std::string, std::vector<FairQueue::RequestId>> waiting;
+    std::vector<std::string> turns;
+    FairQueue::RequestId next = 1;
+    for (int step = 0; step < 20'000; ++step) {
+        if (random() % 2 == 0) {
+            const std::string name = "o" + std::to_string(random() % 5);
+            if (queue.push(next, name, at(1'000'000))) {
+                if (waiting[name].empty())
+                    turns.push_back(name);
+                waiting[name].push_back(next);
+            } else {
+                CHECK(waiting[name].size() == FairQueue::maxPerOrganisation);
+            }
+            ++next;
+            continue;
+        }
+        const auto served = queue.pop();
+        REQUIRE(served.has_value() == !turns.empty());
+        if (!served)
+            continue;
+        const std::string name = turns.front();
+        turns.erase(turns.begin());
+        CHECK(*served == waiting[name].front());
+        waiting[name].erase(waiting[name].begin());
+        if (!waiting[name].empty())
+            turns.push_back(name);
+    }
+}
+
+TEST_CASE("fair queue: requests that cannot end in time are taken out, others stay in order")
+{
+    FairQueue queue;
+    queue.push(1, "a", at(100));
+    queue.push(2, "a", at(900));
+    queue.push(3, "b", at(100));
+    const auto expired = queue.takeExpired(at(500));
+    CHECK(expired.size() == 2);
+    CHECK(*queue.pop() == 2);
+    CHECK(queue.empty());
+    CHECK(!queue.pop());
+    queue.push(4, "a", at(900));
+    queue.forget(4);
+    CHECK(!queue.pop());
+}
+
+TEST_CASE("retries stay below their share of fresh requests when everything fails")
+{
+    RetryBudget budget;
+    budget.setPercent(10);
+    int retries = 0;
+    for (int request = 0; request < 10'000; ++request) {
+        budget.noteFresh();
+        while (budget.take())
+            ++retries;
+    }
+    CHECK(retries <= 1000);
+    CHECK(retries > 900);
+    budget.setPercent(0);
+    CHECK(!budget.take());
+}
+
+TEST_CASE("a request that loses two targets in a row is refused, and forgotten later")
+{
+    CrashList list;
+    CHECK(list.mayRun(7, at(0)));
+    CHECK(list.note({ 7, "x", 5 }, at(0)));
+    CHECK(list.mayRun(7, at(1)));
+    list.started(7);
+    CHECK_MESSAGE(!list.mayRun(7, at(2)), "a second run of a suspect does not start");
+    list.finished(7);
+    CHECK(list.note({ 7, "y", 5 }, at(100)));
+    CHECK(!list.mayRun(7, at(200)));
+    CHECK(list.quarantined() == 1);
+    CHECK(list.mayRun(8, at(200)));
+    CHECK(list.mayRun(7, at(200) + CrashList::memory));
+}
+
+TEST_CASE("a zone that fails under a popular request does not quarantine it")
+{
+    CrashList list;
+    for (const char *target : { "a", "b", "c", "d" })
+        list.note({ 7, target, 50 }, at(10));
+    CHECK(list.mayRun(7, at(20)));
+    list.answered(7);
+    CHECK(list.note({ 7, "e", 5 }, at(500)));
+    CHECK(list.mayRun(7, at(501)));
+}
+
+TEST_CASE("store evidence: down for all serves on, cut off refuses after the bound")
+{
+    StoreEvidence near(true, at(0));
+    CHECK(near.cutOff(at(0)));
+    near.noteReached(at(0));
+    CHECK(!near.cutOff(at(2000)));
+    CHECK(near.cutOff(at(2600)));
+    near.noteFailed(at(2700));
+    CHECK_MESSAGE(!near.cutOff(at(2800)), "the store's own region finds it down");
+
+    StoreEvidence far(false, at(0));
+    far.noteReached(at(0));
+    far.noteFailed(at(2000));
+    CHECK_MESSAGE(far.cutOff(at(2600)), "elsewhere a failed call proves nothing");
+    far.noteHeard(near.ages(at(2800)), at(2800));
+    CHECK(!far.cutOff(at(3000)));
+}
+
+TEST_CASE("store evidence only ages while it is passed on")
+{
+    StoreEvidence first(true, at(0));
+    first.noteReached(at(0));
+    StoreEvidence second(false, at(0));
+    StoreEvidence third(false, at(0));
+    // Two cut-off VMs that tell each other old news do not keep each other serving.
+    second.noteHeard(first.ages(at(100)), at(100));
+    for (long ms = 200; ms < 6000; ms += 100) {
+        third.noteHeard(second.ages(at(ms)), at(ms));
+        second.noteHeard(third.ages(at(ms)), at(ms));
+    }
+    CHECK(second.cutOff(at(6000)));
+    CHECK(third.cutOff(at(6000)));
+}
+
+TEST_CASE("look-ups name near and lightly loaded VMs first, leaving and dead ones not at all")
+{
+    const auto member = [](const char *vm, const char *region, MemberState state,
+                           std::uint32_t load) {
+        Member entry;
+        entry.vm = vm;
+        entry.region = region;
+        entry.state = state;
+        entry.loadPermille = load;
+        return entry;
+    };
+    const MemberList members = { member("far", "south", MemberState::Alive, 0),
+                                 member("busy", "north", MemberState::Alive, 900),
+                                 member("calm", "north", MemberState::Alive, 100),
+                                 member("doubted", "north", MemberState::Suspect, 0),
+                                 member("leaving", "north", MemberState::Leaving, 0),
+                                 member("dead", "north", MemberState::Dead, 0) };
+    const auto order = entryOrder(members, "north", {}, 1, 10);
+    REQUIRE(order.size() == 4);
+    CHECK(order[0].vm == "calm");
+    CHECK(order[1].vm == "busy");
+    CHECK(order[2].vm == "far");
+    CHECK(order[3].vm == "doubted");
+    CHECK(entryOrder(members, "north", { "north" }, 1, 10)[0].vm == "far");
+}
+
+TEST_CASE("configuration never goes back, and patches lead to the newest document")
+{
+    ConfigHistory history;
+    const auto text = [](const char *value) { return std::make_shared<const std::string>(value); };
+    std::string large = R"({"a":1,"filler":")" + std::string(500, 'x') + "\"}";
+    CHECK(history.add(3, text(large.c_str())));
+    CHECK(!history.add(2, text("{}")));
+    CHECK(!history.add(3, text("{}")));
+    ConfigHistory behind = history;
+    large.replace(5, 1, "2");
+    CHECK(history.add(9, text(large.c_str())));
+    const auto patch = history.patchFrom(3);
+    REQUIRE(patch);
+    CHECK(patch->size() < 100);
+    CHECK(*behind.patched(*patch) == large);
+    CHECK(!history.patchFrom(1));
+    CHECK(!behind.patched("[{\"op\":\"remove\",\"path\":\"/missing\"}]"));
+}
+
+TEST_CASE("rendezvous hashing moves only the items of the VM that goes")
+{
+    std::vector<std::string> vms = { "a", "b", "c", "d", "e", "f", "g" };
+    std::map<std::string, std::string> before;
+    for (int i = 0; i < 500; ++i)
+        before["item" + std::to_string(i)] = vms[rendezvousPick("item" + std::to_string(i), vms)];
+    vms.erase(vms.begin() + 2);
+    for (const auto &[item, owner] : before) {
+        if (owner != "c")
+            CHECK(vms[rendezvousPick(item, vms)] == owner);
+    }
+}
--- a/tools/standin/StoreStandin.cpp
+++ b/tools/standin/StoreStandin.cpp
@@ -146,7 +146,9 @@
                               now + milliseconds(numberArgument(request, "waitMs")) });
         return;
     }
-    HttpAnswer answer = request.path == "/v1/vms" ? vmList() : handleObject(request);
+    const bool listsVms = request.path == "/v1/vms";
+    m_counts.reads += listsVms ? 1 : 0;
+    HttpAnswer answer = listsVms ? vmList() : handleObject(request);
     if (std::exchange(m_loseNextAnswer, false)) {
         m_server->drop(id);
         return;
--- a/tools/standin/UpstreamStandin.cpp
+++ b/tools/standin/UpstreamStandin.cpp
@@ -90,8 +90,9 @@
     m_stopped = true;
     m_listener->stop();
     m_thread.join();
-    while (m_connections > 0)
-        std::this_thread::sleep_for(cancelCheck);
+    m_work.notify_all();
+    for (std::thread &worker : m_workers)
+        worker.join();
 }
 
 UpstreamCounts UpstreamStandin::counts() const
@@ -121,21 +122,40 @@
 void UpstreamStandin::accept()
 {
     while (!m_stopped) {
-        std::shared_ptr<RawSocket> socket = m_listener->accept();
+        auto socket = m_listener->accept();
         if (!socket)
             return;
-        ++m_connections;
-        std::thread([this, socket] {
-            serve(socket);
-            --m_connections;
-        }).detach();
+        std::lock_guard<std::mutex> lock(m_queueMutex);
+        m_queue.push_back(std::move(socket));
+        if (m_idle < m_queue.size())
+            m_workers.emplace_back([this] { work(); });
+        m_work.notify_one();
     }
 }
 
-void UpstreamStandin::serve(const std::shared_ptr<RawSocket> &socket)
+// Threads are kept, so that a new connection does not pay for one.
+void UpstreamStandin::work()
 {
-    socket->setTimeout(idleTimeoutMs);
-    while (!m_stopped && serveOne(*socket)) {
+    while (true) {
+        std::unique_ptr<RawSocket> socket;
+        {
+            std::unique_lock<std::mutex> lock(m_queueMutex);
+            ++m_idle;
+            m_work.wait(lock, [&] { return m_stopped || !m_queue.empty(); });
+            --m_idle;
+            if (m_queue.empty())
+                return;
+            socket = std::move(m_queue.front());
+            m_queue.pop_front();
+        }
+        serve(*socket);
+    }
+}
+
+void UpstreamStandin::serve(RawSocket &socket)
+{
+    socket.setTimeout(idleTimeoutMs);
+    while (!m_stopped && serveOne(socket)) {
     }
 }
 
--- a/tools/standin/UpstreamStandin.h
+++ b/tools/standin/UpstreamStandin.h
@@ -3,11 +3,14 @@
 #include "standin/RawSocket.h"
 
 #include <atomic>
+#include <condition_variable>
+#include <deque>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace basildeck::standin {
 
@@ -62,7 +65,8 @@
         , m_listener(std::move(listener))
     {}
     void accept();
-    void serve(const std::shared_ptr<RawSocket> &socket);
+    void work();
+    void serve(RawSocket &socket);
     bool serveOne(RawSocket &socket);
     bool begin(const RawHead &head);
     void end(bool cancelled);
@@ -73,7 +77,11 @@
     std::thread m_thread;
     std::atomic<bool> m_stopped{ false };
     std::atomic<bool> m_crashing{ false };
-    std::atomic<int> m_connections{ 0 };
+    std::mutex m_queueMutex;
+    std::condition_variable m_work;
+    std::deque<std::unique_ptr<RawSocket>> m_queue; // accepted and not yet served
+    std::size_t m_idle = 0;
+    std::vector<std::thread> m_workers;
     mutable std::mutex m_mutex;
     UpstreamCounts m_counts;
     std::map<std::string, int> m_runsByKey;
