--- a/bench/FleetBench.cpp
+++ b/bench/FleetBench.cpp
@@ -65,8 +65,11 @@
         unsigned char *start = buffer + LWS_PRE;
         unsigned char *at = start;
         unsigned char *end = buffer + sizeof buffer;
-        lws_add_http_common_headers(connection, 200, "application/json", body.size(), &at, end);
-        lws_finalize_http_header(connection, &at, end);
+        if (lws_add_http_common_headers(connection, 200, "application/json", body.size(), &at, end)
+            != 0)
+            return -1;
+        if (lws_finalize_http_header(connection, &at, end) != 0)
+            return -1;
         std::memcpy(at, body.data(), body.size());
         at += body.size();
         lws_write(connection, start, static_cast<std::size_t>(at - start), LWS_WRITE_HTTP_HEADERS);
--- a/src/http/RequestPipeline.cpp
+++ b/src/http/RequestPipeline.cpp
@@ -17,20 +17,6 @@
 constexpr Duration reportInterval = milliseconds(100);
 constexpr const char *openOrganisation = "(open)";
 
-bool isIdempotent(const Route &route, const std::string &method)
-{
-    if (route.idempotence != Idempotence::ByMethod)
-        return route.idempotence == Idempotence::Always;
-    return method != "POST" && method != "PATCH";
-}
-
-const Service *findService(const FleetConfig &config, const std::string &name)
-{
-    const auto found = std::find_if(config.services.begin(), config.services.end(),
-                                    [&](const Service &service) { return service.name == name; });
-    return found == config.services.end() ? nullptr : &*found;
-}
-
 const Target *findTarget(const Service &service, const std::string &name)
 {
     const auto found = std::find_if(service.targets.begin(), service.targets.end(),
@@ -76,6 +62,7 @@
     , m_metrics(metrics)
     , m_processStart(processStart)
     , m_processNumber(processNumber)
+    , m_check(settings.maxBodyBytes)
     , m_limits(settings.vmName, processNumber, processStart)
     , m_claims(settings.vmName, processNumber, peer)
 {}
@@ -205,7 +192,7 @@
         return;
     }
     exchange.head = std::move(head.value());
-    if (const auto checked = check(exchange, now); !checked) {
+    if (const auto checked = m_check.check(exchange, now); !checked) {
         refuse(exchange, checked.error().kind, checked.error().detail);
         return;
     }
@@ -213,74 +200,6 @@
     startRate(exchange, now);
 }
 
-Result<void> RequestPipeline::check(Exchange &exchange, Time now)
-{
-    const RequestHead &head = exchange.head;
-    if (m_refusing)
-        return failure(ErrorKind::Leaving, "this VM is leaving");
-    if (!exchange.config)
-        return failure(ErrorKind::NoConfiguration, "this VM has no configuration yet");
-    const Route *route = findRoute(*exchange.config, head.host, percentDecode(head.path));
-    if (route == nullptr)
-        return failure(ErrorKind::UnknownRoute, "no route for path \"" + head.path + "\"");
-    exchange.route = route;
-    exchange.service = findService(*exchange.config, route->service);
-    BOOST_OUTCOME_TRYV(checkKey(exchange, now));
-    if (head.contentLength.value_or(0) > m_settings.maxBodyBytes)
-        return failure(ErrorKind::BodyTooLarge, "the body is larger than "
-                                                        + std::to_string(m_settings.maxBodyBytes)
-                                                        + " bytes");
-    const long timeoutMs
-            = std::min<long>(route->timeoutMs, head.timeoutMs.value_or(route->timeoutMs));
-    exchange.deadline = now + milliseconds(timeoutMs);
-    if (timeoutMs == 0)
-        return failure(ErrorKind::DeadlineExceeded, "the deadline is already over");
-    exchange.idempotent = isIdempotent(*route, head.method);
-    return success();
-}
-
-// A key that stands anywhere else than in the Authorization header would reach the upstream.
-bool RequestPipeline::carriesKey(const RequestHead &head) const
-{
-    for (const std::string &part : keyLikeParts(head)) {
-        if (m_organisationByKey.contains(sha256Hex(part)))
-            return true;
-    }
-    return false;
-}
-
-Result<void> RequestPipeline::checkKey(Exchange &exchange, Time now)
-{
-    const RequestHead &head = exchange.head;
-    const Route &route = *exchange.route;
-    if (carriesKey(head))
-        return failure(ErrorKind::BadRequest, "a key stands outside of the Authorization header");
-    if (head.key.empty()) {
-        if (route.open)
-            return success();
-        return failure(ErrorKind::KeyMissing, "the route \"" + route.name + "\" needs a key");
-    }
-    if (route.open && !m_organisationByKey.contains(sha256Hex(head.key)))
-        return success();
-    if (now > m_serveUntil && !route.open)
-        return failure(ErrorKind::CutOff,
-                       "this VM cannot tell whether keys were withdrawn; ask another one");
-    exchange.keyHash = sha256Hex(head.key);
-    const auto organisation = m_organisationByKey.find(exchange.keyHash);
-    if (organisation == m_organisationByKey.end())
-        return failure(ErrorKind::KeyUnknown, "the key is not known");
-    const auto &allowed = route.organisations;
-    const bool fits
-            = allowed.empty()
-              || std::find(allowed.begin(), allowed.end(), organisation->second) != allowed.end();
-    if (!fits && !route.open)
-        return failure(ErrorKind::OrganisationNotAllowed, "organisation \"" + organisation->second
-                                                                  + "\" may not use route \""
-                                                                  + route.name + "\"");
-    exchange.organisation = organisation->second;
-    return success();
-}
-
 // ---- Rate
 
 void RequestPipeline::startRate(Exchange &exchange, Time now)
@@ -732,12 +651,8 @@
     if (config.version < m_config.version)
         return;
     m_config = config;
-    m_organisationByKey.clear();
+    m_check.setConfig(config);
     m_retries.setPercent(config.config->defaults.retryPercent);
-    for (const Organisation &organisation : config.config->organisations) {
-        for (const std::string &hash : organisation.keyHashes)
-            m_organisationByKey[hash] = organisation.name;
-    }
     m_limits.setConfig(*config.config, now);
     for (const Service &service : config.config->services)
         m_services.try_emplace(
@@ -750,7 +665,7 @@
     std::vector<CallerServer::RequestId> withdrawn;
     for (const auto &[id, exchange] : m_exchanges) {
         const bool waits = exchange->stage < Stage::Running && exchange->attempts == 0;
-        if (waits && !exchange->keyHash.empty() && !m_organisationByKey.contains(exchange->keyHash))
+        if (waits && !exchange->keyHash.empty() && !m_check.knowsKey(exchange->keyHash))
             withdrawn.push_back(id);
     }
     for (const CallerServer::RequestId id : withdrawn) {
@@ -997,7 +912,7 @@
 
 bool RequestPipeline::ready(Time now) const
 {
-    return m_config.config && !m_refusing && m_limits.holders().table().version != 0
+    return m_config.config && !m_check.refusesAll() && m_limits.holders().table().version != 0
            && now - m_processStart > BudgetShare::startGuard;
 }
 
@@ -1022,7 +937,8 @@
                                 { "ejected", view.ejected } });
         services[name] = { { "waiting", service.queue.size() }, { "targets", targets } };
     }
-    const auto serveLeft = std::chrono::duration_cast<milliseconds>(m_serveUntil - now).count();
+    const auto serveLeft
+            = std::chrono::duration_cast<milliseconds>(m_check.serveUntil() - now).count();
     return { { "configVersion", m_config.version },
              { "ready", ready(now) },
              { "holderTable",
@@ -1054,7 +970,7 @@
                     { "idempotent", isIdempotent(*route, method) },
                     { "timeoutMs", route->timeoutMs } };
     const Time now = Clock::now();
-    if (const auto checked = checkKey(probe, now); !checked) {
+    if (const auto checked = m_check.checkKey(probe, now); !checked) {
         result["step"] = "key";
         result["refusal"] = errorAnswer(checked.error().kind).name;
         result["detail"] = checked.error().detail;
--- a/src/http/RequestPipeline.h
+++ b/src/http/RequestPipeline.h
@@ -11,6 +11,7 @@
 #include "decide/TargetPool.h"
 #include "http/ClaimClient.h"
 #include "http/Exchange.h"
+#include "http/RequestCheck.h"
 
 #include <nlohmann/json_fwd.hpp>
 
@@ -56,9 +57,9 @@
     void setMembers(const MemberList &members);
     void setHolders(const HolderTable &table, Time now);
     void acknowledgeHolder(const HolderAcknowledged &acknowledged, Time now);
-    void setServeUntil(Time until) { m_serveUntil = until; }
+    void setServeUntil(Time until) { m_check.setServeUntil(until); }
     void onPayload(const FrontPayloadFrom &from, Time now);
-    void refuseNewRequests() { m_refusing = true; }
+    void refuseNewRequests() { m_check.refuseAll(); }
 
     void tick(Time now);
 
@@ -80,10 +81,6 @@
 
     Exchange *find(CallerServer::RequestId id);
     Exchange *findByAttempt(UpstreamClient::AttemptId id);
-    // The checks that need no waiting. The error refuses the request.
-    Result<void> check(Exchange &exchange, Time now);
-    Result<void> checkKey(Exchange &exchange, Time now);
-    bool carriesKey(const RequestHead &head) const;
 
     void startRate(Exchange &exchange, Time now);
     void onAdmitted(Exchange &exchange, Time now);
@@ -125,12 +122,10 @@
     std::uint64_t m_processNumber;
 
     ConfigInForce m_config;
-    std::unordered_map<std::string, std::string> m_organisationByKey; // by key hash
+    RequestCheck m_check;
     FleetLimits m_limits;
     ClaimClient m_claims;
     std::uint64_t m_acknowledgedTable = 0;
-    Time m_serveUntil;
-    bool m_refusing = false;
     Time m_lastReport;
 
     std::map<std::string, ServiceState> m_services;
