Thin path on the users' platform: one event loop, affinity, quotas, watches

Cause: the HTTP edge on libwebsockets rewrites paths, refuses chunked bodies and answers without length, opens a connection a request and needs four threads; each breaks a rule of the platform. Change: src/edge, one libuv event loop with http_parser; placement of objects by rendezvous hashing, a gate for each target, quota parts by demand, watches of the store with copies from other VMs, a directory, and platform/ with the platform's names. Ruled out by reading, not measured: raw descriptors adopted into libwebsockets, whose poll() grows with the connections. Before: not served.

--- a/include/basildeck/ErrorKind.h
+++ b/include/basildeck/ErrorKind.h
@@ -39,6 +39,8 @@
     NotFound,
     StoreUnavailable,
     StoreAnswerLost,
+    HeadTooLarge,
+    HeadTimeout,
     Internal,
 };
 
--- a/src/config/FleetConfig.h
+++ b/src/config/FleetConfig.h
@@ -31,8 +31,10 @@
 {
     std::string name;
     std::vector<std::string> keyHashes; // SHA-256, hexadecimal
-    double rate = 0;
+    double rate = 0;                    // requests per second, 0: no limit
     double burst = 0;
+    std::optional<int> priority;             // overrides the priority of routes
+    std::vector<std::string> allowedRegions; // empty: all
 };
 
 struct Target
@@ -53,12 +55,22 @@
     ServiceClass serviceClass = ServiceClass::Live;
     int slotsPerTarget = 0;
     std::vector<Target> targets;
+    int maxConnections = 0;           // to one target, from all VMs together; 0: no limit
+    milliseconds coldStart{ 0 };      // how long a target is cold after its start
+    double coldRequestsPerSecond = 0; // that a cold target bears, from all VMs together
 };
 
 // Whether a request may be sent again when its outcome is unknown. ByMethod follows RFC 9110,
 // section 9.2.2.
 enum class Idempotence { ByMethod, Always, Never };
 
+// One of several services among which a route divides its requests.
+struct ServiceShare
+{
+    std::string service;
+    double weight = 0;
+};
+
 struct Route
 {
     std::string name;
@@ -69,6 +81,21 @@
     std::vector<std::string> organisations; // empty: all
     Idempotence idempotence = Idempotence::ByMethod;
     int timeoutMs = 0;
+    int objectiveMs = 0;                     // latency objective, 0: none
+    int attempts = 1;                        // targets that one request may be sent to
+    int priority = 0;                        // 0 is the most urgent
+    bool affinity = false;                   // targets serve objects faster that they served before
+    std::vector<std::string> allowedRegions; // empty: all
+    std::vector<ServiceShare> shares;        // empty: all requests go to the service
+};
+
+// Bounds of what callers may send and how long they may take.
+struct CallerLimits
+{
+    std::size_t maxHeaderBytes = 16384;
+    std::size_t maxBodyBytes = 1 << 20;
+    milliseconds headerTimeout{ 3000 };
+    milliseconds idleTimeout{ 15000 };
 };
 
 struct ClientBlock
@@ -117,6 +144,7 @@
     std::vector<Route> routes;
     std::vector<ClientBlock> blocks;
     std::vector<Exception> exceptions;
+    CallerLimits limits;
 
     // Parses and checks a document as a whole and applies the exceptions that hold at a moment.
     // The error names the object, the field and the reason.
--- a/src/core/ErrorKind.cpp
+++ b/src/core/ErrorKind.cpp
@@ -38,6 +38,8 @@
         { "not-found", 404, RunState::NotRun, 0 },
         { "store-unavailable", 503, RunState::NotRun, 2 },
         { "store-answer-lost", 503, RunState::Unknown, 2 },
+        { "head-too-large", 431, RunState::NotRun, 0 },
+        { "head-timeout", 408, RunState::NotRun, 0 },
         { "internal", 500, RunState::Unknown, 0 },
 } };
 
--- /dev/null
+++ b/src/core/EventLoop.cpp
@@ -0,0 +1,185 @@
+#include "core/EventLoop.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace basildeck {
+
+namespace {
+
+std::uint64_t wholeMilliseconds(Duration duration)
+{
+    const auto count = std::chrono::ceil<milliseconds>(duration).count();
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(0, count));
+}
+
+template <typename Handle>
+void closeAndDelete(Handle *handle)
+{
+    // No callback follows, and the function may be running: it is freed with the handle.
+    uv_close(reinterpret_cast<uv_handle_t *>(&handle->uv),
+             [](uv_handle_t *closed) { delete static_cast<Handle *>(closed->data); });
+}
+
+} // namespace
+
+EventLoop::EventLoop()
+{
+    CHECK_EQ(uv_loop_init(&m_loop), 0);
+    uv_prepare_init(&m_loop, &m_prepare);
+    m_prepare.data = this;
+    uv_prepare_start(&m_prepare, [](uv_prepare_t *prepare) {
+        static_cast<EventLoop *>(prepare->data)->runDeferred();
+    });
+    uv_unref(reinterpret_cast<uv_handle_t *>(&m_prepare));
+}
+
+EventLoop::~EventLoop()
+{
+    runDeferred();
+    uv_close(reinterpret_cast<uv_handle_t *>(&m_prepare), nullptr);
+    uv_run(&m_loop, UV_RUN_NOWAIT);
+    uv_loop_close(&m_loop);
+}
+
+void EventLoop::run()
+{
+    uv_run(&m_loop, UV_RUN_DEFAULT);
+}
+
+void EventLoop::stop()
+{
+    uv_stop(&m_loop);
+}
+
+void EventLoop::defer(std::function<void()> function)
+{
+    m_deferred.push_back(std::move(function));
+}
+
+void EventLoop::runDeferred()
+{
+    // Functions go first: they may refer to objects that are about to be destroyed.
+    while (!m_deferred.empty() || !m_doomed.empty()) {
+        if (m_deferred.empty()) {
+            const auto doomed = std::exchange(m_doomed, {});
+            continue;
+        }
+        const auto functions = std::exchange(m_deferred, {});
+        for (const auto &function : functions)
+            function();
+    }
+}
+
+struct Timer::Handle
+{
+    uv_timer_t uv;
+    std::function<void()> function;
+};
+
+Timer::Timer(EventLoop &loop, std::function<void()> function)
+    : m_handle(new Handle{ {}, std::move(function) })
+{
+    uv_timer_init(loop.handle(), &m_handle->uv);
+    m_handle->uv.data = m_handle;
+}
+
+Timer::~Timer()
+{
+    closeAndDelete(m_handle);
+}
+
+namespace {
+
+template <typename Handle>
+void callFunction(Handle *handle)
+{
+    handle->function();
+}
+
+} // namespace
+
+void Timer::startOnce(Duration delay)
+{
+    uv_update_time(m_handle->uv.loop);
+    uv_timer_start(
+            &m_handle->uv,
+            [](uv_timer_t *timer) { callFunction(static_cast<Handle *>(timer->data)); },
+            wholeMilliseconds(delay), 0);
+}
+
+void Timer::startRepeating(Duration period)
+{
+    const std::uint64_t every = std::max<std::uint64_t>(1, wholeMilliseconds(period));
+    uv_timer_start(
+            &m_handle->uv,
+            [](uv_timer_t *timer) { callFunction(static_cast<Handle *>(timer->data)); }, every,
+            every);
+}
+
+void Timer::stop()
+{
+    uv_timer_stop(&m_handle->uv);
+}
+
+struct DescriptorWatch::Handle
+{
+    uv_poll_t uv;
+    Ready function;
+};
+
+DescriptorWatch::DescriptorWatch(EventLoop &loop, int descriptor, Ready ready)
+    : m_handle(new Handle{ {}, std::move(ready) })
+{
+    CHECK_EQ(uv_poll_init(loop.handle(), &m_handle->uv, descriptor), 0);
+    m_handle->uv.data = m_handle;
+}
+
+DescriptorWatch::~DescriptorWatch()
+{
+    closeAndDelete(m_handle);
+}
+
+void DescriptorWatch::want(bool read, bool write)
+{
+    if (read == m_read && write == m_write)
+        return;
+    m_read = read;
+    m_write = write;
+    if (!read && !write) {
+        uv_poll_stop(&m_handle->uv);
+        return;
+    }
+    const int events = (read ? UV_READABLE : 0) | (write ? UV_WRITABLE : 0);
+    uv_poll_start(&m_handle->uv, events, [](uv_poll_t *poll, int status, int ready) {
+        auto *handle = static_cast<Handle *>(poll->data);
+        const bool readable = status < 0 || (ready & UV_READABLE) != 0;
+        handle->function(readable, (ready & UV_WRITABLE) != 0);
+    });
+}
+
+struct SignalWatch::Handle
+{
+    uv_signal_t uv;
+    std::function<void()> function;
+};
+
+SignalWatch::SignalWatch(EventLoop &loop, int signal, std::function<void()> function)
+    : m_handle(new Handle{ {}, std::move(function) })
+{
+    uv_signal_init(loop.handle(), &m_handle->uv);
+    m_handle->uv.data = m_handle;
+    uv_signal_start(
+            &m_handle->uv,
+            [](uv_signal_t *watch, int) { callFunction(static_cast<Handle *>(watch->data)); },
+            signal);
+}
+
+SignalWatch::~SignalWatch()
+{
+    closeAndDelete(m_handle);
+}
+
+} // namespace basildeck
--- /dev/null
+++ b/src/core/EventLoop.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "basildeck/Time.h"
+
+#include <uv.h>
+
+#include <functional>
+#include <memory>
+#include <utility>
+#include <vector>
+
+namespace basildeck {
+
+// The event loop of one task, on libuv. Not thread-safe.
+class EventLoop
+{
+public:
+    EventLoop();
+    ~EventLoop();
+    EventLoop(const EventLoop &) = delete;
+    EventLoop &operator=(const EventLoop &) = delete;
+
+    void run();
+    void stop();
+    Time now() const { return Clock::now(); }
+    // Calls a function after the event at hand, before the loop waits again.
+    void defer(std::function<void()> function);
+    // Destroys an object after the event at hand, because it may be inside one of its callbacks.
+    template <typename T>
+    void destroyLater(std::unique_ptr<T> object)
+    {
+        if (object)
+            m_doomed.push_back(std::make_unique<DoomedObject<T>>(std::move(object)));
+    }
+
+    uv_loop_t *handle() { return &m_loop; }
+
+private:
+    struct Doomed
+    {
+        virtual ~Doomed() = default;
+    };
+    template <typename T>
+    struct DoomedObject final : Doomed
+    {
+        explicit DoomedObject(std::unique_ptr<T> o)
+            : object(std::move(o))
+        {}
+        std::unique_ptr<T> object;
+    };
+
+    void runDeferred();
+
+    uv_loop_t m_loop;
+    uv_prepare_t m_prepare;
+    std::vector<std::function<void()>> m_deferred;
+    std::vector<std::unique_ptr<Doomed>> m_doomed;
+};
+
+// Calls a function once or repeatedly. Stops when it is destroyed.
+class Timer
+{
+public:
+    Timer(EventLoop &loop, std::function<void()> function);
+    ~Timer();
+    Timer(const Timer &) = delete;
+    Timer &operator=(const Timer &) = delete;
+
+    void startOnce(Duration delay);
+    void startRepeating(Duration period);
+    void stop();
+
+private:
+    struct Handle;
+    Handle *m_handle; // freed by the loop once it is closed
+};
+
+// Reports when a descriptor can be read or written. Does not own the descriptor.
+class DescriptorWatch
+{
+public:
+    // Called with what is possible. A descriptor in error counts as readable.
+    using Ready = std::function<void(bool readable, bool writable)>;
+
+    DescriptorWatch(EventLoop &loop, int descriptor, Ready ready);
+    ~DescriptorWatch();
+    DescriptorWatch(const DescriptorWatch &) = delete;
+    DescriptorWatch &operator=(const DescriptorWatch &) = delete;
+
+    void want(bool read, bool write);
+
+private:
+    struct Handle;
+    Handle *m_handle; // freed by the loop once it is closed
+    bool m_read = false;
+    bool m_write = false;
+};
+
+// Calls a function when the process receives a signal.
+class SignalWatch
+{
+public:
+    SignalWatch(EventLoop &loop, int signal, std::function<void()> function);
+    ~SignalWatch();
+    SignalWatch(const SignalWatch &) = delete;
+    SignalWatch &operator=(const SignalWatch &) = delete;
+
+private:
+    struct Handle;
+    Handle *m_handle; // freed by the loop once it is closed
+};
+
+} // namespace basildeck
--- /dev/null
+++ b/src/decide/OutlierWatch.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "basildeck/Time.h"
+
+#include <algorithm>
+
+namespace basildeck {
+
+// Sets one target aside while its runs keep failing.
+class OutlierWatch
+{
+public:
+    // Failures in a row after which a target is set aside.
+    static constexpr int failuresToEject = 3;
+    static constexpr Duration firstEjection = milliseconds(1000);
+    static constexpr Duration longestEjection = seconds(8);
+
+    // The target could not be reached, or ended a run without a proper answer. True if it is set
+    // aside from now on.
+    bool failed(Time now)
+    {
+        ++m_failuresInRow;
+        if (m_failuresInRow < failuresToEject || isEjected(now))
+            return false;
+        m_ejectedUntil = now + m_nextEjection;
+        m_nextEjection = std::min(longestEjection, m_nextEjection * 2);
+        return true;
+    }
+
+    void succeeded()
+    {
+        m_failuresInRow = 0;
+        m_nextEjection = firstEjection;
+    }
+
+    bool isEjected(Time now) const { return now < m_ejectedUntil; }
+
+private:
+    int m_failuresInRow = 0;
+    Duration m_nextEjection = firstEjection;
+    Time m_ejectedUntil{};
+};
+
+} // namespace basildeck
--- /dev/null
+++ b/src/decide/PeerTable.cpp
@@ -0,0 +1,116 @@
+#include "decide/PeerTable.h"
+
+#include <algorithm>
+#include <set>
+
+namespace basildeck {
+
+void PeerTable::setRegistered(std::map<std::string, std::string> gossipAddresses)
+{
+    gossipAddresses.erase(m_self);
+    m_registered = std::move(gossipAddresses);
+}
+
+bool PeerTable::heard(const PeerBeat &beat, Time now)
+{
+    if (beat.vm == m_self || beat.vm.empty())
+        return false;
+    const auto known = m_heard.find(beat.vm);
+    if (known != m_heard.end()) {
+        const PeerBeat &last = known->second.beat;
+        const bool isOld
+                = beat.incarnation < last.incarnation
+                  || (beat.incarnation == last.incarnation && beat.sequence <= last.sequence);
+        // A clock that was set back gives a new process a lower number than the one before.
+        if (isOld && now - known->second.heardAt <= silence)
+            return false;
+    }
+    m_heard[beat.vm] = { beat, now };
+    return true;
+}
+
+void PeerTable::introduced(const std::string &gossipAddress)
+{
+    m_introduced.try_emplace(gossipAddress, true);
+}
+
+void PeerTable::tick(Time now)
+{
+    std::erase_if(m_heard, [&](const auto &entry) {
+        return now - entry.second.heardAt > memory && !m_registered.contains(entry.first);
+    });
+}
+
+std::vector<const PeerBeat *> PeerTable::reachable(Time now) const
+{
+    std::vector<const PeerBeat *> peers;
+    for (const auto &[vm, peer] : m_heard) {
+        if (now - peer.heardAt <= silence)
+            peers.push_back(&peer.beat);
+    }
+    return peers;
+}
+
+std::vector<std::string> PeerTable::gossipAddresses() const
+{
+    std::set<std::string> addresses;
+    for (const auto &[vm, address] : m_registered)
+        addresses.insert(address);
+    for (const auto &[vm, peer] : m_heard)
+        addresses.insert(peer.beat.gossipAddress);
+    // Introductions matter only to a VM that cannot read the list itself.
+    if (m_registered.empty()) {
+        for (const auto &[address, named] : m_introduced)
+            addresses.insert(address);
+    }
+    return { addresses.begin(), addresses.end() };
+}
+
+std::size_t PeerTable::registeredCount() const
+{
+    std::set<std::string> vms{ m_self };
+    for (const auto &[vm, address] : m_registered)
+        vms.insert(vm);
+    for (const auto &[vm, peer] : m_heard)
+        vms.insert(vm);
+    return vms.size();
+}
+
+std::size_t PeerTable::knownInRegion(const std::string &region) const
+{
+    return static_cast<std::size_t>(
+            std::count_if(m_heard.begin(), m_heard.end(),
+                          [&](const auto &entry) { return entry.second.beat.region == region; }));
+}
+
+const PeerBeat *PeerTable::newestCopy(const std::string &kind, std::uint64_t revision,
+                                      Time now) const
+{
+    const PeerBeat *newest = nullptr;
+    for (const PeerBeat *beat : reachable(now)) {
+        const auto found = beat->revisions.find(kind);
+        if (found == beat->revisions.end() || found->second <= revision)
+            continue;
+        newest = beat;
+        revision = found->second;
+    }
+    return newest;
+}
+
+std::vector<std::string> directoryAddresses(const std::vector<DirectoryEntry> &serving,
+                                            const std::string &callerRegion, std::size_t most)
+{
+    std::vector<std::string> near;
+    std::vector<std::string> all;
+    for (const DirectoryEntry &entry : serving) {
+        all.push_back(entry.callerAddress);
+        if (entry.region == callerRegion)
+            near.push_back(entry.callerAddress);
+    }
+    std::vector<std::string> &chosen = near.empty() ? all : near;
+    if (chosen.size() > most)
+        chosen.resize(most);
+    return chosen;
+}
+
+} // namespace basildeck
--- /dev/null
+++ b/src/decide/PeerTable.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "basildeck/Time.h"
+#include "config/Address.h"
+#include "decide/CrashList.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace basildeck {
+
+// What each VM tells the others about itself, several times a second.
+struct PeerBeat
+{
+    std::string vm;
+    std::uint64_t incarnation = 0; // higher in each later process of a VM
+    std::uint64_t sequence = 0;    // higher in each later beat of a process
+    std::string region;
+    std::string zone;
+    std::string callerAddress;
+    std::string gossipAddress;
+    std::string relayAddress;
+    bool ready = false;
+    bool leaving = false;
+    std::map<std::string, std::uint64_t> revisions; // store revision of each kind of objects it has
+    std::map<std::string, double> demands;          // requests per second, by organisation
+    std::vector<CrashReport> crashes;               // seen lately
+    std::vector<std::string> introduces; // gossip addresses of other VMs, a few at a time
+};
+
+// The other VMs: those that are registered, and those that are heard from.
+class PeerTable
+{
+public:
+    // A VM that is silent for this long counts as not reachable.
+    static constexpr Duration silence = milliseconds(1500);
+    // A VM that is neither registered nor heard from for this long is forgotten.
+    static constexpr Duration memory = seconds(20);
+
+    explicit PeerTable(std::string self)
+        : m_self(std::move(self))
+    {}
+
+    // Replaces the list of registered VMs: gossip address by name.
+    void setRegistered(std::map<std::string, std::string> gossipAddresses);
+    // Takes in a beat. False if it is older than what is known.
+    bool heard(const PeerBeat &beat, Time now);
+    // Another VM named an address.
+    void introduced(const std::string &gossipAddress);
+    void tick(Time now);
+
+    // VMs heard from lately.
+    std::vector<const PeerBeat *> reachable(Time now) const;
+    // Addresses to send beats to.
+    std::vector<std::string> gossipAddresses() const;
+    // VMs that may be serving, this one included, whether or not they are heard from.
+    std::size_t registeredCount() const;
+    // Other VMs of a region, whether or not they are heard from.
+    std::size_t knownInRegion(const std::string &region) const;
+    // The reachable VM with the newest copy of a kind, if it is newer than a revision.
+    const PeerBeat *newestCopy(const std::string &kind, std::uint64_t revision, Time now) const;
+
+private:
+    struct Peer
+    {
+        PeerBeat beat;
+        Time heardAt;
+    };
+
+    std::string m_self;
+    std::map<std::string, Peer> m_heard;
+    std::map<std::string, std::string> m_registered;
+    std::map<std::string, bool> m_introduced; // by address
+};
+
+// What the directory needs to know of a VM.
+struct DirectoryEntry
+{
+    std::string callerAddress;
+    std::string region;
+    std::string zone;
+};
+
+// The VMs that callers in a region are to use: those of their region if it has any, else those of
+// the regions that may serve them, else all.
+std::vector<std::string> directoryAddresses(const std::vector<DirectoryEntry> &serving,
+                                            const std::string &callerRegion, std::size_t most);
+
+} // namespace basildeck
--- /dev/null
+++ b/src/decide/Placement.cpp
@@ -0,0 +1,92 @@
+#include "decide/Placement.h"
+
+#include "core/Hash.h"
+
+#include <algorithm>
+
+namespace basildeck {
+
+namespace {
+
+// Finalizer of SplitMix64 (Steele, Lea and Flood 2014).
+std::uint64_t mixed(std::uint64_t value)
+{
+    value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9ULL;
+    value = (value ^ (value >> 27)) * 0x94d049bb133111ebULL;
+    return value ^ (value >> 31);
+}
+
+double unitInterval(std::uint64_t hash)
+{
+    return static_cast<double>(hash >> 11) * 0x1.0p-53;
+}
+
+constexpr std::uint64_t localShareSalt = 0x6c6f63616cULL;
+
+struct Scored
+{
+    std::uint64_t score;
+    std::string_view id;
+};
+
+std::vector<std::string_view> bestOf(std::vector<Scored> scored, std::size_t most)
+{
+    const std::size_t count = std::min(most, scored.size());
+    std::partial_sort(scored.begin(), scored.begin() + static_cast<std::ptrdiff_t>(count),
+                      scored.end(),
+                      [](const Scored &a, const Scored &b) { return a.score > b.score; });
+    std::vector<std::string_view> ids;
+    for (std::size_t i = 0; i < count; ++i)
+        ids.push_back(scored[i].id);
+    return ids;
+}
+
+bool contains(const std::vector<std::string> &list, std::string_view item)
+{
+    return std::find(list.begin(), list.end(), item) != list.end();
+}
+
+} // namespace
+
+void Placement::setTargets(std::vector<PlacedTarget> targets)
+{
+    m_targets.clear();
+    m_slotsByRegion.clear();
+    m_slots = 0;
+    for (PlacedTarget &target : targets) {
+        m_slotsByRegion[target.region] += target.slots;
+        m_slots += target.slots;
+        const std::uint64_t hash = stableHash(target.id);
+        m_targets.push_back({ std::move(target), hash });
+    }
+}
+
+double Placement::localShare(std::string_view region) const
+{
+    const auto found = m_slotsByRegion.find(region);
+    if (found == m_slotsByRegion.end() || m_slots == 0)
+        return 0;
+    const auto regions = static_cast<double>(m_slotsByRegion.size());
+    return std::min(1.0, found->second * regions / m_slots);
+}
+
+Placement::Homes Placement::homes(std::uint64_t object, std::string_view callerRegion,
+                                  const std::vector<std::string> &allowedRegions,
+                                  std::size_t most) const
+{
+    std::vector<Scored> local;
+    std::vector<Scored> remote;
+    for (const Entry &entry : m_targets) {
+        if (!allowedRegions.empty() && !contains(allowedRegions, entry.target.region))
+            continue;
+        auto &group = entry.target.region == callerRegion ? local : remote;
+        group.push_back({ mixed(object ^ entry.hash), entry.target.id });
+    }
+    Homes homes{ bestOf(std::move(local), most), bestOf(std::move(remote), most) };
+    const bool localFirst = unitInterval(mixed(object ^ localShareSalt)) < localShare(callerRegion);
+    if (homes.first.empty() || (!localFirst && !homes.second.empty()))
+        std::swap(homes.first, homes.second);
+    return homes;
+}
+
+} // namespace basildeck
--- /dev/null
+++ b/src/decide/QuotaShare.cpp
@@ -0,0 +1,71 @@
+#include "decide/QuotaShare.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace basildeck {
+
+QuotaShare::QuotaShare(Time now)
+    : m_updated(now)
+{}
+
+void QuotaShare::advance(Time now)
+{
+    const double elapsed = toSeconds(now - m_updated);
+    if (elapsed <= 0)
+        return;
+    m_updated = now;
+    m_demandCount *= std::exp(-elapsed / toSeconds(demandMemory));
+    m_tokens = std::min(m_limit.burst * m_part + 1, m_tokens + m_limit.rate * m_part * elapsed);
+}
+
+void QuotaShare::setLimit(const QuotaLimit &limit, Time now)
+{
+    advance(now);
+    m_limit = limit;
+    m_tokens = std::min(m_tokens, m_limit.burst * m_part + 1);
+}
+
+void QuotaShare::setDemand(const QuotaDemand &demand, Time now)
+{
+    advance(now);
+    const auto registered = static_cast<double>(std::max<std::size_t>(1, demand.registeredVms));
+    const auto heard = static_cast<double>(demand.ofPeers.size() + 1);
+    const double reachable = std::min(1.0, heard / registered);
+    const double own = this->demand(now) + baseDemand;
+    const double all
+            = std::accumulate(demand.ofPeers.begin(), demand.ofPeers.end(), own,
+                              [](double sum, double peer) { return sum + peer + baseDemand; });
+    m_part = reachable * own / all;
+    m_tokens = std::min(m_tokens, m_limit.burst * m_part + 1);
+}
+
+double QuotaShare::demand(Time now)
+{
+    advance(now);
+    return m_demandCount / toSeconds(demandMemory);
+}
+
+bool QuotaShare::admit(Time now)
+{
+    advance(now);
+    m_demandCount += 1;
+    if (m_limit.rate <= 0)
+        return true;
+    if (m_tokens < 1)
+        return false;
+    m_tokens -= 1;
+    return true;
+}
+
+Duration QuotaShare::nextToken() const
+{
+    const double rate = m_limit.rate * m_part;
+    if (rate <= 0 || m_tokens >= 1)
+        return Duration::zero();
+    return std::chrono::duration_cast<Duration>(
+            std::chrono::duration<double>((1 - m_tokens) / rate));
+}
+
+} // namespace basildeck
--- /dev/null
+++ b/src/decide/QuotaShare.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "basildeck/Time.h"
+
+#include <vector>
+
+namespace basildeck {
+
+// The limit of one organisation over the whole fleet.
+struct QuotaLimit
+{
+    double rate = 0;  // requests per second, 0: no limit
+    double burst = 0; // requests
+    bool operator==(const QuotaLimit &other) const = default;
+};
+
+// What the VMs that this one hears from want of one organisation's quota.
+struct QuotaDemand
+{
+    std::size_t registeredVms = 1; // VMs that may be serving, this one included
+    std::vector<double> ofPeers;   // requests per second wanted, of each VM heard from lately
+};
+
+// One VM's part of an organisation's quota.
+//
+// Each VM takes the part of the rate that its demand has of all demand. A VM that is not heard from
+// may be cut off and serving, so an equal part stays reserved for it; a VM that hears from nobody
+// therefore uses just one such part, and the parts of all sides of a partition add up to one.
+class QuotaShare
+{
+public:
+    // Time constant of the demand average.
+    static constexpr Duration demandMemory = milliseconds(1500);
+    // Demand in requests per second that each VM is taken to have besides the demand it reports, so
+    // that a first request finds a token.
+    static constexpr double baseDemand = 0.5;
+
+    explicit QuotaShare(Time now);
+
+    void setLimit(const QuotaLimit &limit, Time now);
+    void setDemand(const QuotaDemand &demand, Time now);
+    // Takes a token for one request. False if there is none.
+    bool admit(Time now);
+    // Demand at this VM, requests per second.
+    double demand(Time now);
+    // Part of the fleet's quota that this VM uses, between 0 and 1.
+    double part() const { return m_part; }
+    // When the next token is there.
+    Duration nextToken() const;
+
+private:
+    void advance(Time now);
+
+    QuotaLimit m_limit;
+    double m_part = 0;
+    double m_tokens = 0;
+    double m_demandCount = 0; // decaying count of requests
+    Time m_updated;
+};
+
+} // namespace basildeck
--- a/src/decide/RetryBudget.h
+++ b/src/decide/RetryBudget.h
@@ -13,7 +13,9 @@
     static constexpr double maxSaved = 10;
 
     void setPercent(int percent) { m_perRequest = percent / 100.0; }
-    void noteFresh() { m_saved = std::min(maxSaved, m_saved + m_perRequest); }
+    // Replaces the number of retries that may be spent at once.
+    void setMaxSaved(double retries) { m_maxSaved = retries; }
+    void noteFresh() { m_saved = std::min(m_maxSaved, m_saved + m_perRequest); }
     bool take()
     {
         if (m_saved < 1)
@@ -24,6 +26,7 @@
 
 private:
     double m_perRequest = 0;
+    double m_maxSaved = maxSaved;
     double m_saved = 0;
 };
 
--- /dev/null
+++ b/src/decide/TargetGate.cpp
@@ -0,0 +1,99 @@
+#include "decide/TargetGate.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace basildeck {
+
+namespace {
+
+void average(double &value, double observation)
+{
+    value = value == 0 ? observation : value + TargetGate::averageWeight * (observation - value);
+}
+
+Duration fromSeconds(double value)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(value));
+}
+
+} // namespace
+
+TargetGate::TargetGate(int slots)
+    : m_slots(std::max(1, slots))
+    , m_allowance(std::max(1.0, m_slots / 2.0))
+{}
+
+bool TargetGate::hasRoom() const
+{
+    return m_inFlight < static_cast<int>(m_allowance);
+}
+
+Duration TargetGate::expectedWait(int priority) const
+{
+    const auto ahead = std::count_if(m_waiting.begin(), m_waiting.end(),
+                                     [&](const Waiting &w) { return w.priority <= priority; });
+    if (ahead == 0 && hasRoom())
+        return Duration::zero();
+    return fromSeconds(m_runSeconds * static_cast<double>(ahead + 1)
+                       / static_cast<int>(m_allowance));
+}
+
+Duration TargetGate::expectedRun(const std::string &kind) const
+{
+    const auto found = m_runSecondsByKind.find(kind);
+    return fromSeconds(found == m_runSecondsByKind.end() ? m_runSeconds : found->second);
+}
+
+void TargetGate::push(const Waiting &waiting)
+{
+    const auto behind = std::find_if(m_waiting.begin(), m_waiting.end(), [&](const Waiting &w) {
+        return w.priority > waiting.priority;
+    });
+    m_waiting.insert(behind, waiting);
+}
+
+std::optional<TargetGate::Waiting> TargetGate::pop()
+{
+    if (m_waiting.empty() || !hasRoom())
+        return std::nullopt;
+    const Waiting next = m_waiting.front();
+    m_waiting.erase(m_waiting.begin());
+    return next;
+}
+
+bool TargetGate::forget(RequestId id)
+{
+    return std::erase_if(m_waiting, [&](const Waiting &w) { return w.id == id; }) > 0;
+}
+
+std::vector<TargetGate::Waiting> TargetGate::takeAll()
+{
+    return std::exchange(m_waiting, {});
+}
+
+void TargetGate::answered(const std::string &kind, Duration took,
+                          const std::optional<LoadReport> &load)
+{
+    --m_inFlight;
+    average(m_runSeconds, toSeconds(took));
+    average(m_runSecondsByKind[kind], toSeconds(took));
+    if (load && load->waiting > 0)
+        m_allowance = std::max(1.0, m_allowance * waitingFactor);
+    else
+        m_allowance = std::min(static_cast<double>(m_slots), m_allowance + increaseStep);
+}
+
+void TargetGate::shed()
+{
+    --m_inFlight;
+    m_allowance = std::max(1.0, m_allowance * shedFactor);
+}
+
+void TargetGate::setSlots(int slots)
+{
+    m_slots = std::max(1, slots);
+    m_allowance = std::min(m_allowance, static_cast<double>(m_slots));
+}
+
+} // namespace basildeck
--- /dev/null
+++ b/src/decide/TargetGate.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "basildeck/Time.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace basildeck {
+
+// What a target said of its own load with an answer.
+struct LoadReport
+{
+    int running = 0;
+    int waiting = 0;
+    int slots = 0;
+};
+
+// Decides how many requests this VM has in flight at one target, and in which order others wait for
+// it here.
+//
+// A queue here can be ordered and given up; a queue at the target cannot. The number in flight
+// grows while the target reports that nobody waits there, and shrinks while somebody does or when
+// the target sheds, so that the VMs that share a target settle on its slots without messages
+// (additive increase, multiplicative decrease).
+class TargetGate
+{
+public:
+    using RequestId = std::uint64_t;
+
+    // Added for each answer that reports no waiting requests.
+    static constexpr double increaseStep = 0.2;
+    // Factors for an answer that reports waiting requests, and for a shed request.
+    static constexpr double waitingFactor = 0.85;
+    static constexpr double shedFactor = 0.6;
+    // Weight of a new observation in moving averages.
+    static constexpr double averageWeight = 0.2;
+
+    explicit TargetGate(int slots);
+
+    struct Waiting
+    {
+        RequestId id = 0;
+        int priority = 0; // 0 is the most urgent
+    };
+
+    // A request can be sent now.
+    bool hasRoom() const;
+    // How long a new request of a priority would wait here.
+    Duration expectedWait(int priority) const;
+    // How long a request of a kind takes at this target; zero if nothing is known.
+    Duration expectedRun(const std::string &kind) const;
+
+    void push(const Waiting &waiting);
+    // The next waiting request, if there is room for it.
+    std::optional<Waiting> pop();
+    // Returns false if the request does not wait here.
+    bool forget(RequestId id);
+    // Removes and returns all waiting requests.
+    std::vector<Waiting> takeAll();
+
+    void started() { ++m_inFlight; }
+    void answered(const std::string &kind, Duration took, const std::optional<LoadReport> &load);
+    void shed();
+    // The run ended without an answer that says anything about load.
+    void ended() { --m_inFlight; }
+
+    void setSlots(int slots);
+    int inFlight() const { return m_inFlight; }
+    std::size_t waiting() const { return m_waiting.size(); }
+    double allowance() const { return m_allowance; }
+
+private:
+    int m_slots;
+    double m_allowance;
+    int m_inFlight = 0;
+    std::vector<Waiting> m_waiting; // most urgent first, then oldest first
+    double m_runSeconds = 0;        // moving average over all kinds
+    std::map<std::string, double> m_runSecondsByKind;
+};
+
+} // namespace basildeck
--- /dev/null
+++ b/src/decide/WeightedSplit.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <cstddef>
+#include <vector>
+
+namespace basildeck {
+
+// Divides a sequence of requests in proportion to weights, with the least deviation at every point
+// (smooth weighted round robin).
+class WeightedSplit
+{
+public:
+    explicit WeightedSplit(std::vector<double> weights)
+        : m_weights(std::move(weights))
+        , m_current(m_weights.size(), 0)
+    {}
+
+    // Index of the part that gets the next request. The weights must not be empty.
+    std::size_t next()
+    {
+        std::size_t best = 0;
+        double total = 0;
+        for (std::size_t i = 0; i < m_weights.size(); ++i) {
+            m_current[i] += m_weights[i];
+            total += m_weights[i];
+            if (m_current[i] > m_current[best])
+                best = i;
+        }
+        m_current[best] -= total;
+        return best;
+    }
+
+    const std::vector<double> &weights() const { return m_weights; }
+
+private:
+    std::vector<double> m_weights;
+    std::vector<double> m_current;
+};
+
+} // namespace basildeck
--- /dev/null
+++ b/src/edge/EdgeServer.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "edge/CallerConnection.h"
+
+#include <map>
+#include <memory>
+
+namespace basildeck {
+
+// Serves HTTP/1.1 at one address.
+class EdgeServer
+{
+public:
+    // How often connections are looked at for time-outs.
+    static constexpr Duration tickPeriod = milliseconds(500);
+
+    static Result<std::unique_ptr<EdgeServer>>
+    make(EventLoop &loop, const Address &at, RequestHandler handler, std::size_t maxBodyBytes);
+    ~EdgeServer();
+
+    void setLimits(const CallerLimits &limits) { m_context.limits = limits; }
+    // From now on each answer ends its connection.
+    void endConnections() { m_context.closing = true; }
+    // Accepts no more connections, and ends those that are idle.
+    void stopAccepting();
+    std::size_t connections() const { return m_connections.size(); }
+
+private:
+    EdgeServer(EventLoop &loop, RequestHandler handler, std::size_t maxBodyBytes);
+    void accept(int descriptor);
+    void tick();
+
+    CallerContext m_context;
+    std::unique_ptr<TcpListener> m_listener;
+    std::map<std::uint64_t, std::unique_ptr<CallerConnection>> m_connections;
+    std::uint64_t m_nextConnection = 1;
+    Timer m_timer;
+};
+
+} // namespace basildeck
--- /dev/null
+++ b/src/edge/ForwardedRequest.cpp
@@ -0,0 +1,136 @@
+#include "edge/ForwardedRequest.h"
+
+#include <http_parser.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+
+namespace basildeck {
+
+namespace {
+
+// Fields that concern one connection only (RFC 9110, section 7.6.1), and those that this VM sets.
+constexpr std::array<std::string_view, 11> connectionFields
+        = { "connection", "keep-alive",       "proxy-authenticate", "proxy-authorization",
+            "te",         "trailer",          "transfer-encoding",  "upgrade",
+            "expect",     "proxy-connection", "content-length" };
+
+bool isConnectionField(std::string_view name)
+{
+    return std::any_of(connectionFields.begin(), connectionFields.end(),
+                       [&](std::string_view field) { return equalNames(field, name); });
+}
+
+// Whether a Connection field names another field.
+bool isNamedByConnection(const HeaderFields &fields, std::string_view name)
+{
+    const std::string *connection = fields.find("connection");
+    if (connection == nullptr)
+        return false;
+    std::string_view rest = *connection;
+    while (!rest.empty()) {
+        const std::size_t end = std::min(rest.find(','), rest.size());
+        std::string_view word = rest.substr(0, end);
+        while (!word.empty() && word.front() == ' ')
+            word.remove_prefix(1);
+        while (!word.empty() && word.back() == ' ')
+            word.remove_suffix(1);
+        if (equalNames(word, name))
+            return true;
+        rest.remove_prefix(std::min(end + 1, rest.size()));
+    }
+    return false;
+}
+
+void addField(std::string &text, std::string_view name, std::string_view value)
+{
+    text.append(name).append(": ").append(value).append("\r\n");
+}
+
+void addEndToEndFields(std::string &text, const HeaderFields &fields,
+                       const std::vector<std::string_view> &without)
+{
+    for (const HeaderFields::Field &field : fields.all()) {
+        const std::string &name = field.first;
+        const bool isLeftOut = std::any_of(without.begin(), without.end(),
+                                           [&](std::string_view o) { return equalNames(o, name); });
+        if (!isLeftOut && !isConnectionField(name) && !isNamedByConnection(fields, name))
+            addField(text, name, field.second);
+    }
+}
+
+const char *reasonPhrase(int status)
+{
+    return http_status_str(static_cast<http_status>(status));
+}
+
+std::string statusLine(int status)
+{
+    return "HTTP/1.1 " + std::to_string(status) + " " + reasonPhrase(status) + "\r\n";
+}
+
+} // namespace
+
+std::string targetRequest(const ForwardedRequest &request, const WireNames &names, Time now)
+{
+    const MessageHead &head = request.incoming.head;
+    const auto left = std::chrono::duration_cast<milliseconds>(request.deadline - now).count();
+    std::string text = head.request.method + " " + head.request.target + " HTTP/1.1\r\n";
+    addEndToEndFields(
+            text, head.fields,
+            { names.timeoutMs, names.callerKey, names.organisation, names.expectedTarget });
+    addField(text, names.timeoutMs, std::to_string(std::max<std::int64_t>(1, left)));
+    addField(text, names.expectedTarget, request.target);
+    if (request.organisation != nullptr)
+        addField(text, names.organisation, request.organisation->name);
+    if (head.contentLength || head.chunked)
+        addField(text, "Content-Length", std::to_string(request.incoming.body.size()));
+    text += "\r\n";
+    text += request.incoming.body;
+    return text;
+}
+
+std::string callerAnswerHead(const ForwardedRequest &request, std::optional<std::size_t> bodySize)
+{
+    const MessageHead &head = request.answer.head;
+    std::string text = statusLine(head.status);
+    addEndToEndFields(text, head.fields, {});
+    const bool bodiless = head.status == 204 || head.status == 304;
+    if (bodiless)
+        return text;
+    if (request.incoming.head.request.method == "HEAD") {
+        if (head.contentLength)
+            addField(text, "Content-Length", std::to_string(*head.contentLength));
+        return text;
+    }
+    if (bodySize)
+        addField(text, "Content-Length", std::to_string(*bodySize));
+    else if (request.incoming.head.isHttp10)
+        addField(text, "Connection", "close");
+    else
+        addField(text, "Transfer-Encoding", "chunked");
+    return text;
+}
+
+OwnAnswer refusalAnswer(ErrorKind kind, int status, const std::string &requestIdName,
+                        const std::string &requestId, Duration retryAfter)
+{
+    const ErrorAnswer &row = errorAnswer(kind);
+    OwnAnswer answer;
+    answer.body = "{\"refusal\":\"" + std::string(row.name) + "\"}\n";
+    answer.head = statusLine(status);
+    if (!requestId.empty())
+        addField(answer.head, requestIdName, requestId);
+    addField(answer.head, "Basildeck-Refusal", row.name);
+    if (retryAfter > Duration::zero()) {
+        std::array<char, 32> text{};
+        std::snprintf(text.data(), text.size(), "%.2f", toSeconds(retryAfter));
+        addField(answer.head, "Retry-After", text.data());
+    }
+    addField(answer.head, "Content-Type", "application/json");
+    addField(answer.head, "Content-Length", std::to_string(answer.body.size()));
+    return answer;
+}
+
+} // namespace basildeck
--- /dev/null
+++ b/src/edge/GossipTask.cpp
@@ -0,0 +1,156 @@
+#include "edge/GossipTask.h"
+
+#include "core/Log.h"
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/map.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <sstream>
+
+namespace basildeck {
+
+namespace {
+
+constexpr const char *part = "gossip";
+constexpr std::size_t maxDatagram = 32 * 1024;
+// Addresses of other VMs that a beat names, so that a VM without the store finds them all.
+constexpr std::size_t introductionsPerBeat = 2;
+
+sockaddr_in toSocketAddress(const Address &address)
+{
+    sockaddr_in result{};
+    result.sin_family = AF_INET;
+    result.sin_port = htons(address.port);
+    inet_pton(AF_INET, address.ip.c_str(), &result.sin_addr);
+    return result;
+}
+
+} // namespace
+
+template <typename Archive>
+void serialize(Archive &archive, CrashReport &report)
+{
+    archive(report.fingerprint, report.target, report.ranForMs);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, PeerBeat &beat)
+{
+    archive(beat.vm, beat.incarnation, beat.sequence, beat.region, beat.zone, beat.callerAddress,
+            beat.gossipAddress, beat.relayAddress, beat.ready, beat.leaving, beat.revisions,
+            beat.demands, beat.crashes, beat.introduces);
+}
+
+std::unique_ptr<GossipTask> GossipTask::make(EventLoop &loop, const EdgeSettings &settings,
+                                             PeerTable &peers, Callbacks callbacks)
+{
+    const int descriptor = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (descriptor < 0)
+        return nullptr;
+    const sockaddr_in address = toSocketAddress(settings.gossipAddress());
+    if (bind(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) < 0) {
+        ::close(descriptor);
+        return nullptr;
+    }
+    return std::unique_ptr<GossipTask>(
+            new GossipTask(loop, settings, peers, std::move(callbacks), descriptor));
+}
+
+GossipTask::GossipTask(EventLoop &loop, const EdgeSettings &settings, PeerTable &peers,
+                       Callbacks callbacks, int descriptor)
+    : m_loop(loop)
+    , m_peers(peers)
+    , m_callbacks(std::move(callbacks))
+    , m_descriptor(descriptor)
+    , m_watch(std::make_unique<DescriptorWatch>(loop, descriptor,
+                                                [this](bool, bool) { receiveAll(); }))
+    , m_timer(loop, [this] { beat(); })
+{
+    m_own.vm = settings.vmName;
+    m_own.region = settings.region;
+    m_own.zone = settings.zone;
+    m_own.callerAddress = settings.callerAddress.toString();
+    m_own.gossipAddress = settings.gossipAddress().toString();
+    m_own.relayAddress = settings.relayAddress().toString();
+    // The time of day orders processes of one VM. A clock that was set back between two of them
+    // only delays the news of the later one until the earlier one is forgotten.
+    m_own.incarnation = static_cast<std::uint64_t>(
+            std::chrono::duration_cast<milliseconds>(
+                    std::chrono::system_clock::now().time_since_epoch())
+                    .count());
+    m_watch->want(true, false);
+    m_timer.startOnce(Duration::zero());
+}
+
+GossipTask::~GossipTask()
+{
+    m_watch.reset();
+    ::close(m_descriptor);
+}
+
+void GossipTask::beatNow()
+{
+    beat();
+}
+
+void GossipTask::beat()
+{
+    const std::vector<std::string> addresses = m_peers.gossipAddresses();
+    m_callbacks.fill(m_own);
+    ++m_own.sequence;
+    m_own.introduces.clear();
+    for (std::size_t i = 0; i < std::min(introductionsPerBeat, addresses.size()); ++i)
+        m_own.introduces.push_back(addresses[m_nextIntroduction++ % addresses.size()]);
+    std::ostringstream out;
+    {
+        cereal::PortableBinaryOutputArchive archive(out);
+        archive(m_own);
+    }
+    const std::string bytes = out.str();
+    for (const std::string &text : addresses) {
+        const auto address = Address::parse(text);
+        if (!address)
+            continue;
+        const sockaddr_in to = toSocketAddress(address.value());
+        // A datagram that cannot be sent is one that was lost.
+        ::sendto(m_descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL,
+                 reinterpret_cast<const sockaddr *>(&to), sizeof(to));
+    }
+    const auto paced = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+            static_cast<double>(addresses.size()) / maxMessagesPerSecond));
+    m_timer.startOnce(std::max(shortestPeriod, paced));
+}
+
+void GossipTask::receiveAll()
+{
+    static thread_local std::array<char, maxDatagram> buffer;
+    for (;;) {
+        const ssize_t count = ::recv(m_descriptor, buffer.data(), buffer.size(), 0);
+        if (count < 0)
+            return;
+        PeerBeat beat;
+        try {
+            std::istringstream in(std::string(buffer.data(), static_cast<std::size_t>(count)));
+            cereal::PortableBinaryInputArchive archive(in);
+            archive(beat);
+        } catch (const std::exception &error) {
+            BASILDECK_WARNING(part) << "unreadable beat bytes=" << count << " " << error.what();
+            continue;
+        }
+        for (const std::string &address : beat.introduces)
+            m_peers.introduced(address);
+        if (m_peers.heard(beat, m_loop.now()))
+            m_callbacks.heard(beat);
+    }
+}
+
+} // namespace basildeck
--- /dev/null
+++ b/src/store/ObjectProtocol.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "basildeck/Result.h"
+#include "basildeck/Time.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace basildeck {
+
+// One object of the store.
+struct StoredObject
+{
+    std::string name;
+    std::uint64_t revision = 0;
+    nlohmann::json content;
+};
+
+// A part of the list of a kind of objects.
+struct ObjectPage
+{
+    std::vector<StoredObject> objects;
+    bool hasMore = false; // continue behind the name of the last object
+    std::uint64_t storeRevision = 0;
+};
+
+struct ObjectChange
+{
+    StoredObject object;
+    bool deleted = false;
+};
+
+// What a watch returned.
+struct ObjectChanges
+{
+    std::vector<ObjectChange> changes;
+    std::uint64_t storeRevision = 0; // continue from here
+};
+
+// How a store spells its calls and answers.
+struct ObjectProtocol
+{
+    std::function<std::string(const std::string &kind, const std::string &after)> listPath;
+    std::function<std::string(const std::string &kind, std::uint64_t revision, milliseconds wait)>
+            watchPath;
+    std::function<std::string(const std::string &kind, const std::string &name)> objectPath;
+    std::function<std::string(const std::string &name, const nlohmann::json &content)> createBody;
+    std::function<Result<ObjectPage>(const std::string &body)> parsePage;
+    std::function<Result<ObjectChanges>(const std::string &body)> parseChanges;
+};
+
+} // namespace basildeck
