A removal that another VM passed on takes effect without the own store access

Ruled out: the copy itself was late (it came 1 s after the store's acknowledgement). Change: the grace runs from the news, not from the return of the store.

--- a/src/edge/TargetTable.cpp
+++ b/src/edge/TargetTable.cpp
@@ -91,7 +91,8 @@
     const bool mayHaveLapsed
             = !target->info.leaving && (!m_storeReached || now < m_storeBackAt + lapseGrace);
     if (mayHaveLapsed) {
-        target->removeAt = std::max(m_storeBackAt, now) + lapseGrace;
+        // Not until this VM's own store access returns: another VM's copy may bring the news.
+        target->removeAt = now + lapseGrace;
         BASILDECK_INFO(part) << "entry lapsed, target kept for a while target=" << id;
         return;
     }
@@ -137,13 +138,8 @@
 
 void TargetTable::setStoreReached(bool reached, Time now)
 {
-    if (reached && !m_storeReached) {
+    if (reached && !m_storeReached)
         m_storeBackAt = now;
-        for (auto &[id, target] : m_targets) {
-            if (target->removeAt)
-                target->removeAt = now + lapseGrace;
-        }
-    }
     m_storeReached = reached;
 }
 
@@ -154,7 +150,7 @@
         target->connections.closeIdle(now);
         if (target->coldLimit && !isCold(*target, now))
             target->coldLimit.reset();
-        if (m_storeReached && target->removeAt && now >= *target->removeAt)
+        if (target->removeAt && now >= *target->removeAt)
             gone.push_back(id);
     }
     for (const std::string &id : gone) {
