Entries cannot lapse in an outage that one VM did not see

Ruled out: a request that waited (it was sent when it came). Change: beats tell for how long the store has answered; an entry counts as lapsed only if no VM had access all the while; the grace is 2.1 s and ends at the moment, not at a tick. Tests: target table, 2 new.

--- a/src/decide/PeerTable.cpp
+++ b/src/decide/PeerTable.cpp
@@ -83,6 +83,14 @@
                           [&](const auto &entry) { return entry.second.beat.region == region; }));
 }
 
+Duration PeerTable::storeReachedFor(Time now) const
+{
+    Duration longest{ 0 };
+    for (const PeerBeat *beat : reachable(now))
+        longest = std::max<Duration>(longest, milliseconds(beat->storeReachedForMs));
+    return longest;
+}
+
 const PeerBeat *PeerTable::newestCopy(const std::string &kind, std::uint64_t revision,
                                       Time now) const
 {
--- a/src/decide/PeerTable.h
+++ b/src/decide/PeerTable.h
@@ -23,6 +23,7 @@
     std::string callerAddress;
     std::string gossipAddress;
     std::string relayAddress;
+    std::uint32_t storeReachedForMs = 0; // how long the store has answered it without a break
     bool ready = false;
     bool leaving = false;
     std::map<std::string, std::uint64_t> revisions; // store revision of each kind of objects it has
@@ -60,6 +61,8 @@
     std::size_t registeredCount() const;
     // Other VMs of a region, whether or not they are heard from.
     std::size_t knownInRegion(const std::string &region) const;
+    // The longest time for which the store has answered one of the reachable VMs without a break.
+    Duration storeReachedFor(Time now) const;
     // The reachable VM with the newest copy of a kind, if it is newer than a revision.
     const PeerBeat *newestCopy(const std::string &kind, std::uint64_t revision, Time now) const;
 
--- a/src/edge/EdgeProcess.cpp
+++ b/src/edge/EdgeProcess.cpp
@@ -19,6 +19,8 @@
 constexpr std::size_t bodyMemoryPart = 4;
 // How long crashes are repeated in beats, so that a lost datagram does not matter.
 constexpr Duration crashRepeatTime = seconds(2);
+// Longest uninterrupted access to the store that a beat tells of.
+constexpr Duration storeMemory = seconds(60);
 constexpr Duration reloadPeriod = seconds(5);
 // A leaving VM accepts connections until callers have stopped to choose it, and keeps this much of
 // the grace to end.
@@ -165,6 +167,9 @@
 {
     const Time now = m_loop.now();
     beat.ready = isReady();
+    const Duration reached = std::min<Duration>(m_targets.storeReachedFor(now), storeMemory);
+    beat.storeReachedForMs
+            = static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(reached).count());
     beat.leaving = m_leavingSince.has_value();
     beat.revisions = m_view->revisions();
     beat.demands.clear();
@@ -196,6 +201,7 @@
     m_peers.tick(now);
     const auto reachable = m_peers.reachable(now);
     m_forwarder.setVmCount(m_peers.registeredCount());
+    m_targets.setStoreReachedElsewhere(m_peers.storeReachedFor(now));
     m_targets.setVmsInRegion(m_peers.knownInRegion(m_settings.region) + 1);
     for (auto &[organisation, quota] : m_forwarder.quotas()) {
         QuotaDemand demand{ m_peers.registeredCount(), {} };
--- a/src/edge/GossipTask.cpp
+++ b/src/edge/GossipTask.cpp
@@ -46,8 +46,8 @@
 void serialize(Archive &archive, PeerBeat &beat)
 {
     archive(beat.vm, beat.incarnation, beat.sequence, beat.region, beat.zone, beat.callerAddress,
-            beat.gossipAddress, beat.relayAddress, beat.ready, beat.leaving, beat.revisions,
-            beat.demands, beat.crashes, beat.introduces);
+            beat.gossipAddress, beat.relayAddress, beat.storeReachedForMs, beat.ready, beat.leaving,
+            beat.revisions, beat.demands, beat.crashes, beat.introduces);
 }
 
 std::unique_ptr<GossipTask> GossipTask::make(EventLoop &loop, const EdgeSettings &settings,
--- a/src/edge/TargetTable.cpp
+++ b/src/edge/TargetTable.cpp
@@ -23,6 +23,7 @@
 TargetTable::TargetTable(EventLoop &loop, const EdgeSettings &settings)
     : m_loop(loop)
     , m_settings(settings)
+    , m_storeBackAt(loop.now())
 {}
 
 void TargetTable::setServices(const FleetConfig &config)
@@ -88,8 +89,8 @@
     TargetState *target = find(id);
     if (target == nullptr)
         return;
-    const bool mayHaveLapsed
-            = !target->info.leaving && (!m_storeReached || now < m_storeBackAt + lapseGrace);
+    const bool mayHaveLapsed = !target->info.leaving && storeReachedFor(now) < lapseGrace
+                               && m_storeReachedElsewhere < outageMemory;
     if (mayHaveLapsed) {
         // Not until this VM's own store access returns: another VM's copy may bring the news.
         target->removeAt = now + lapseGrace;
@@ -143,6 +144,11 @@
     m_storeReached = reached;
 }
 
+Duration TargetTable::storeReachedFor(Time now) const
+{
+    return m_storeReached ? now - m_storeBackAt : Duration::zero();
+}
+
 void TargetTable::tick(Time now)
 {
     std::vector<std::string> gone;
@@ -194,7 +200,7 @@
 
 bool TargetTable::mayUse(const TargetState &target, Time now) const
 {
-    if (isClosed(target))
+    if (isClosed(target) || (target.removeAt && now >= *target.removeAt))
         return false;
     if (target.outlier.isEjected(now) && !tooManyEjected(target.info.service, now))
         return false;
--- a/src/edge/TargetTable.h
+++ b/src/edge/TargetTable.h
@@ -47,7 +47,9 @@
 public:
     // How long an entry that lapsed while the store was away is kept after the store's return. The
     // platform promises the entries of living targets back within two seconds.
-    static constexpr Duration lapseGrace = milliseconds(2300);
+    static constexpr Duration lapseGrace = milliseconds(2100);
+    // An outage that ended longer ago than this has no effect on entries that disappear now.
+    static constexpr Duration outageMemory = seconds(6);
 
     TargetTable(EventLoop &loop, const EdgeSettings &settings);
 
@@ -59,6 +61,11 @@
     void setVmsInRegion(std::size_t count) { m_vmsInRegion = std::max<std::size_t>(1, count); }
     // The store began or ceased to answer.
     void setStoreReached(bool reached, Time now);
+    // How long the store has answered this VM without a break.
+    Duration storeReachedFor(Time now) const;
+    // How long it has answered another VM without a break. Entries cannot have lapsed in an outage
+    // of the store that one of the VMs did not see.
+    void setStoreReachedElsewhere(Duration time) { m_storeReachedElsewhere = time; }
     // Drops entries whose grace is over and idle connections that targets may be about to close.
     void tick(Time now);
 
@@ -100,6 +107,7 @@
     std::size_t m_vmsInRegion = 1;
     bool m_storeReached = true;
     Time m_storeBackAt{};
+    Duration m_storeReachedElsewhere{ 0 };
     std::function<void(TargetState &)> m_onClosed;
 };
 
--- a/tests/TargetTableTest.cpp
+++ b/tests/TargetTableTest.cpp
@@ -49,7 +49,7 @@
 TEST_CASE("a removal is final at once while the store answers")
 {
     Table table;
-    table.targets.remove("i-1", table.now);
+    table.targets.remove("i-1", table.now + seconds(5));
     CHECK(table.targets.find("i-1") == nullptr);
 }
 
@@ -77,6 +77,26 @@
     CHECK(table.targets.find("i-1") != nullptr);
 }
 
+// dct-lb, trouble-1: a VM that had been cut off sent to a target 2.6 s after its entry was removed.
+TEST_CASE("nothing has lapsed if the store answered another VM all the while")
+{
+    Table table;
+    table.targets.setStoreReached(false, table.now);
+    table.targets.setStoreReachedElsewhere(TargetTable::outageMemory);
+    table.targets.remove("i-1", table.now);
+    CHECK(table.targets.find("i-1") == nullptr);
+}
+
+TEST_CASE("a target whose grace is over gets nothing before the next tick either")
+{
+    Table table;
+    table.targets.setStoreReached(false, table.now);
+    table.targets.remove("i-1", table.now);
+    const TargetState &state = *table.targets.find("i-1");
+    CHECK(table.targets.mayUse(state, table.now));
+    CHECK_FALSE(table.targets.mayUse(state, table.now + TargetTable::lapseGrace));
+}
+
 TEST_CASE("a leaving target that disappears during an outage is gone at once")
 {
     Table table;
