The edge is tested byte by byte; three faults found by it are mended

Causes: a connection that reports an error stops its libuv watch, so a reset behind data was never seen (504 after the timeout in place of 502 at once); http_parser accepts 'Transfer-Encoding : chunked' as another field, which a target could read as the real one; a process started without retries to spend. Changes: watches start again after an error; field names must be tokens; half of the saved retries at the start; open requests are answered before the end, which lets the answers behind them out. Own answers carry Basildeck-Run.

--- a/src/core/EventLoop.cpp
+++ b/src/core/EventLoop.cpp
@@ -128,10 +128,12 @@
 {
     uv_poll_t uv;
     Ready function;
+    bool wantsRead = false;
+    bool wantsWrite = false;
 };
 
 DescriptorWatch::DescriptorWatch(EventLoop &loop, int descriptor, Ready ready)
-    : m_handle(new Handle{ {}, std::move(ready) })
+    : m_handle(new Handle{ {}, std::move(ready), false, false })
 {
     CHECK_EQ(uv_poll_init(loop.handle(), &m_handle->uv, descriptor), 0);
     m_handle->uv.data = m_handle;
@@ -144,10 +146,10 @@
 
 void DescriptorWatch::want(bool read, bool write)
 {
-    if (read == m_read && write == m_write)
+    if (read == m_handle->wantsRead && write == m_handle->wantsWrite)
         return;
-    m_read = read;
-    m_write = write;
+    m_handle->wantsRead = read;
+    m_handle->wantsWrite = write;
     if (!read && !write) {
         uv_poll_stop(&m_handle->uv);
         return;
@@ -155,6 +157,10 @@
     const int events = (read ? UV_READABLE : 0) | (write ? UV_WRITABLE : 0);
     uv_poll_start(&m_handle->uv, events, [](uv_poll_t *poll, int status, int ready) {
         auto *handle = static_cast<Handle *>(poll->data);
+        // libuv stops a watch that reports an error. What was received before can still be read,
+        // so the next want() has to start it again.
+        if (status < 0)
+            handle->wantsRead = handle->wantsWrite = false;
         const bool readable = status < 0 || (ready & UV_READABLE) != 0;
         handle->function(readable, (ready & UV_WRITABLE) != 0);
     });
--- a/src/core/EventLoop.h
+++ b/src/core/EventLoop.h
@@ -92,8 +92,6 @@
 private:
     struct Handle;
     Handle *m_handle; // freed by the loop once it is closed
-    bool m_read = false;
-    bool m_write = false;
 };
 
 // Calls a function when the process receives a signal.
--- a/src/edge/EdgeProcess.cpp
+++ b/src/edge/EdgeProcess.cpp
@@ -24,7 +24,7 @@
 constexpr Duration reloadPeriod = seconds(5);
 // A leaving VM accepts connections until callers have stopped to choose it, and keeps this much of
 // the grace to end.
-constexpr Duration leaveReserve = milliseconds(700);
+constexpr Duration leaveReserve = milliseconds(900);
 constexpr std::string_view copiesPath = "/copies/";
 constexpr std::string_view metricsPath = "/metrics";
 
@@ -259,6 +259,12 @@
     const bool isDone = m_stoppedAccepting && m_callerServer->connections() == 0 && m_unregistered;
     if (!isDone && left > leaveReserve)
         return;
+    if (!isDone && !m_abandoned) {
+        // Answers that are ready may be held back behind one that is not.
+        m_abandoned = true;
+        m_forwarder.abandonAll();
+        return;
+    }
     BASILDECK_INFO(part) << "left open_requests=" << m_forwarder.openRequests()
                          << " connections=" << m_callerServer->connections();
     m_loop.stop();
--- a/src/edge/EdgeProcess.h
+++ b/src/edge/EdgeProcess.h
@@ -93,6 +93,7 @@
     std::vector<std::pair<CrashReport, Time>> m_recentCrashes;
     std::optional<Time> m_leavingSince;
     bool m_stoppedAccepting = false;
+    bool m_abandoned = false;
     bool m_unregistered = false;
     Time m_lastReload{};
     std::uint64_t m_lookups = 0;
--- a/src/edge/FleetView.cpp
+++ b/src/edge/FleetView.cpp
@@ -77,10 +77,19 @@
         return;
     }
     m_routing = std::make_shared<RoutingTable>(std::move(config.value()), object.revision);
+    useConfig();
+}
+
+// Without the list of VMs the part of quotas that this VM may use is not known.
+void FleetView::useConfig()
+{
+    if (!m_routing || replica(vmKind)->revision() == 0)
+        return;
     m_parts.targets.setServices(m_routing->config());
     m_parts.forwarder.setRouting(m_routing);
     m_configured(m_routing->config());
-    BASILDECK_INFO(part) << "configuration in force revision=" << object.revision
+    m_isConfigured = true;
+    BASILDECK_INFO(part) << "configuration in force revision=" << m_routing->revision()
                          << " routes=" << m_routing->config().routes.size()
                          << " organisations=" << m_routing->config().organisations.size();
 }
@@ -112,6 +121,8 @@
     if (!isCurrent && !m_leaving)
         registerSelf();
     m_parts.peers.setRegistered(std::move(addresses));
+    if (!m_isConfigured)
+        useConfig();
 }
 
 void FleetView::registerSelf()
--- a/src/edge/FleetView.h
+++ b/src/edge/FleetView.h
@@ -40,7 +40,7 @@
     // Removes this VM's own object, then calls a function.
     void leave(std::function<void()> left);
 
-    bool isConfigured() const { return m_routing != nullptr; }
+    bool isConfigured() const { return m_isConfigured; }
     // Store revision of each kind.
     std::map<std::string, std::uint64_t> revisions() const;
     std::uint64_t storeCalls() const;
@@ -49,6 +49,7 @@
 
 private:
     void takeConfig(const StoredObject &object);
+    void useConfig();
     void takeTarget(const StoredObject &object);
     void takeVms();
     void noteReachable();
@@ -66,6 +67,7 @@
     HttpCaller m_writer; // of the own object
     HttpCaller m_copier;
     Timer m_copyTimer;
+    bool m_isConfigured = false;
     bool m_isRegistered = false;
     bool m_leaving = false;
 };
--- a/src/edge/ForwardedRequest.cpp
+++ b/src/edge/ForwardedRequest.cpp
@@ -123,6 +123,7 @@
     if (!requestId.empty())
         addField(answer.head, requestIdName, requestId);
     addField(answer.head, "Basildeck-Refusal", row.name);
+    addField(answer.head, "Basildeck-Run", runStateName(row.run));
     if (retryAfter > Duration::zero()) {
         std::array<char, 32> text{};
         std::snprintf(text.data(), text.size(), "%.2f", toSeconds(retryAfter));
--- a/src/edge/Forwarder.cpp
+++ b/src/edge/Forwarder.cpp
@@ -62,8 +62,13 @@
 {
     m_vmCount = std::max<std::size_t>(1, count);
     for (auto &[service, budget] : m_retryBudgets)
-        budget.setMaxSaved(std::max(1.0, m_settings.bounds.retrySlack * retryShare
-                                                 / static_cast<double>(m_vmCount)));
+        budget.setMaxSaved(savedRetries());
+}
+
+double Forwarder::savedRetries() const
+{
+    return std::max(1.0,
+                    m_settings.bounds.retrySlack * retryShare / static_cast<double>(m_vmCount));
 }
 
 void Forwarder::setOnCrash(std::function<void(const CrashReport &)> onCrash)
@@ -90,10 +95,15 @@
         quota->second.setLimit({ organisation.rate, organisation.burst }, now);
     }
     m_quotas = std::move(quotas);
-    for (const Service &service : m_routing->config().services)
-        m_retryBudgets[service.name].setPercent(
+    for (const Service &service : m_routing->config().services) {
+        const auto [budget, isNew] = m_retryBudgets.try_emplace(service.name);
+        budget->second.setPercent(
                 static_cast<int>(100 * retryShare * m_settings.bounds.retryRatio));
-    setVmCount(m_vmCount);
+        budget->second.setMaxSaved(savedRetries());
+        // A process that starts again and again is given the other half by its requests only.
+        if (isNew)
+            budget->second.grant(savedRetries() / 2);
+    }
 }
 
 std::string Forwarder::organisationName(const Request &request) const
--- a/src/edge/Forwarder.h
+++ b/src/edge/Forwarder.h
@@ -48,6 +48,8 @@
     void callerLeft(RequestId id);
     // The caller's connection takes output again.
     void callerDrained(RequestId id);
+    // Answers all open requests, because this VM is about to end.
+    void abandonAll();
 
     // Quotas by organisation.
     std::map<std::string, QuotaShare> &quotas() { return m_quotas; }
@@ -85,6 +87,8 @@
     void endRun(Request &request, bool cancelled);
     bool mayRetry(const Request &request, RetryReason reason);
 
+    // Retries that this VM may spend at once after a calm time.
+    double savedRetries() const;
     void refuse(Request &request, ErrorKind kind, Duration retryAfter = Duration::zero());
     void finish(Request &request);
     std::string organisationName(const Request &request) const;
--- a/src/edge/ForwarderAnswers.cpp
+++ b/src/edge/ForwarderAnswers.cpp
@@ -288,6 +288,30 @@
         serveQueue(*target);
 }
 
+void Forwarder::abandonAll()
+{
+    std::vector<RequestId> ids;
+    ids.reserve(m_requests.size());
+    for (const auto &[id, request] : m_requests)
+        ids.push_back(id);
+    for (const RequestId id : ids) {
+        const auto found = m_requests.find(id);
+        if (found == m_requests.end())
+            continue;
+        Request &request = *found->second;
+        request.mayHaveRun = request.mayHaveRun || request.isRunning;
+        endRun(request, true);
+        if (request.answer.streaming) {
+            m_metrics.countCut(request.route->name, organisationName(request));
+            request.incoming.sink.cut();
+            finish(request);
+        } else {
+            refuse(request, request.mayHaveRun ? ErrorKind::UpstreamTimeout : ErrorKind::Leaving,
+                   request.mayHaveRun ? Duration::zero() : shedRetryAfter);
+        }
+    }
+}
+
 void Forwarder::callerLeft(RequestId id)
 {
     const auto found = m_requests.find(id);
--- a/src/edge/HttpParser.cpp
+++ b/src/edge/HttpParser.cpp
@@ -16,6 +16,23 @@
            == std::tolower(static_cast<unsigned char>(second));
 }
 
+// The library lets a space pass before the colon; another reader might take such a field for the
+// one without it (RFC 9112, section 5.1).
+bool isToken(std::string_view name)
+{
+    constexpr std::string_view symbols = "!#$%&'*+-.^_`|~";
+    return !name.empty() && std::all_of(name.begin(), name.end(), [&](char c) {
+        return std::isalnum(static_cast<unsigned char>(c)) != 0
+               || symbols.find(c) != std::string_view::npos;
+    });
+}
+
+bool hasControlCharacters(std::string_view value)
+{
+    return std::any_of(value.begin(), value.end(),
+                       [](char c) { return c == '\r' || c == '\n' || c == '\0'; });
+}
+
 // The library counts head bytes in a global limit; this class counts its own.
 constexpr std::uint32_t libraryHeadLimit = 1U << 30;
 
@@ -122,7 +139,11 @@
     storeField();
     trailer = true;
     headComplete = true;
-    if (hasAmbiguousLength()) {
+    const bool hasBadField = std::any_of(
+            head.fields.all().begin(), head.fields.all().end(), [](const HeaderFields::Field &f) {
+                return !isToken(f.first) || hasControlCharacters(f.second);
+            });
+    if (hasBadField || hasAmbiguousLength()) {
         problem = Problem::Malformed;
         return -1;
     }
--- a/src/edge/TcpStream.cpp
+++ b/src/edge/TcpStream.cpp
@@ -199,6 +199,7 @@
     }
     if (readable && isOpen() && m_reading)
         readAvailable();
+    updateWatch();
 }
 
 void TcpStream::readAvailable()
--- /dev/null
+++ b/tests/EdgeForwardingTest.cpp
@@ -0,0 +1,353 @@
+#include "EdgeWorld.h"
+
+#include <doctest/doctest.h>
+
+namespace basildeck::test {
+
+using standin::RawAnswer;
+using standin::readAnswer;
+
+namespace {
+
+// Reads an answer that has to come.
+RawAnswer whole(standin::RawSocket &socket, bool hasBody = true)
+{
+    const auto answer = readAnswer(socket, hasBody);
+    REQUIRE(answer);
+    CHECK(answer->whole);
+    return *answer;
+}
+
+std::string body(standin::RawSocket &socket, std::size_t size)
+{
+    while (socket.buffer().size() < size && socket.receive()) {
+    }
+    return socket.buffer();
+}
+
+} // namespace
+
+TEST_SUITE_BEGIN("edge forwarding");
+
+TEST_CASE("method, path, query, body and other fields pass unchanged")
+{
+    EdgeWorld world;
+    const std::string path = "/unsafe/a%2Fb/../c//d;p=1?x=%26&y=+&&z";
+    auto caller = world.call(EdgeWorld::request(
+            "POST", path, "r1",
+            "X-Other: 1\r\nX-Other: 2\r\nCookie: a=b; Affinity-Key=7\r\nTenant: forged\r\n"
+            "Target-Instance: forged\r\nConnection: keep-alive, X-Hop\r\nX-Hop: 1\r\n"
+            "Deadline-Ms: 900\r\n",
+            "hello"));
+    auto at = world.arrival();
+    CHECK(at.head.startLine == "POST " + path + " HTTP/1.1");
+    CHECK(at.head.header("request-id") == "r1");
+    CHECK(at.head.header("api-key").empty());
+    CHECK(at.head.header("tenant") == "alpha");
+    CHECK(at.head.header("target-instance") == "i-0");
+    CHECK(at.head.header("x-hop").empty());
+    CHECK(at.head.header("cookie") == "a=b; Affinity-Key=7");
+    CHECK(std::stoi(std::string(at.head.header("deadline-ms"))) <= 900);
+    CHECK(at.head.header("content-length") == "5");
+    std::vector<std::string> others;
+    for (const HttpHeader &field : at.head.headers) {
+        if (field.name == "x-other")
+            others.push_back(field.value);
+    }
+    CHECK(others == std::vector<std::string>{ "1", "2" });
+    CHECK(body(*at.socket, 5) == "hello");
+    at.socket->send(EdgeWorld::answer("r1", "done", "X-Back: 1\r\n", 201));
+    const RawAnswer answer = whole(*caller);
+    CHECK(answer.head.status() == 201);
+    CHECK(answer.body == "done");
+    CHECK(answer.head.header("response-seal") == "s.r1");
+    CHECK(answer.head.header("x-back") == "1");
+}
+
+TEST_CASE("a body in chunks arrives whole")
+{
+    EdgeWorld world;
+    auto caller = world.call(
+            EdgeWorld::request("POST", "/unsafe/", "r1", "Transfer-Encoding: chunked\r\n")
+            + "5\r\nhello\r\n6;x=y\r\n world\r\n0\r\nTrailer-Field: 1\r\n\r\n");
+    auto at = world.arrival();
+    CHECK(at.head.header("content-length") == "11");
+    CHECK(body(*at.socket, 11) == "hello world");
+    at.socket->send(EdgeWorld::answer("r1", "x"));
+    CHECK(whole(*caller).head.status() == 200);
+}
+
+TEST_CASE("pipelined requests are answered in order")
+{
+    EdgeWorld world;
+    auto caller = world.call(EdgeWorld::request("GET", "/safe/1", "r1")
+                             + EdgeWorld::request("GET", "/safe/2", "r2"));
+    auto first = world.arrival();
+    auto second = world.arrival();
+    if (first.head.header("request-id") == "r2")
+        std::swap(first, second);
+    second.socket->send(EdgeWorld::answer("r2", "two"));
+    first.socket->send(EdgeWorld::answer("r1", "one"));
+    CHECK(whole(*caller).body == "one");
+    CHECK(whole(*caller).body == "two");
+}
+
+TEST_CASE("a request behind a body is read")
+{
+    EdgeWorld world;
+    auto caller = world.call(EdgeWorld::request("POST", "/unsafe/", "r1", {}, "body")
+                             + EdgeWorld::request("GET", "/safe/", "r2"));
+    for (int i = 0; i < 2; ++i) {
+        auto at = world.arrival();
+        const std::string id(at.head.header("request-id"));
+        at.socket->send(EdgeWorld::answer(id, id, "Connection: close\r\n"));
+    }
+    CHECK(whole(*caller).body == "r1");
+    CHECK(whole(*caller).body == "r2");
+}
+
+TEST_CASE("an answer that ends with its connection is whole only without a reset")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Seal: s\r\n\r\n";
+    {
+        EdgeWorld world;
+        auto caller = world.call(EdgeWorld::request("POST", "/unsafe/", "r1", {}, "x"));
+        auto at = world.arrival();
+        at.socket->send(head + "all of it");
+        body(*at.socket, 1);
+        at.socket.reset();
+        CHECK(whole(*caller).body == "all of it");
+    }
+    EdgeWorld world;
+    auto caller = world.call(EdgeWorld::request("POST", "/unsafe/", "r1", {}, "x"));
+    auto at = world.arrival();
+    at.socket->send(head + "a part");
+    at.socket->resetOnClose();
+    at.socket.reset();
+    const RawAnswer answer = whole(*caller);
+    CHECK(answer.head.status() == 502);
+    CHECK(answer.head.header("basildeck-run") == "unknown");
+}
+
+TEST_CASE("a late answer to another request on a kept connection is discarded")
+{
+    EdgeWorld world;
+    auto caller = world.call(EdgeWorld::request("GET", "/safe/", "r1"));
+    auto at = world.arrival();
+    at.socket->send(EdgeWorld::answer("r1", "one"));
+    CHECK(whole(*caller).body == "one");
+    caller->send(EdgeWorld::request("GET", "/safe/", "r2"));
+    REQUIRE(standin::readHead(*at.socket));
+    at.socket->send(EdgeWorld::answer("r1", "one again") + EdgeWorld::answer("r2", "two"));
+    CHECK(whole(*caller).body == "two");
+}
+
+TEST_CASE("bytes behind an answer belong to nobody")
+{
+    EdgeWorld world;
+    auto caller = world.call(EdgeWorld::request("GET", "/safe/", "r1"));
+    auto at = world.arrival();
+    at.socket->send(EdgeWorld::answer("r1", "one") + EdgeWorld::answer("r2", "forged"));
+    CHECK(whole(*caller).body == "one");
+    caller->send(EdgeWorld::request("GET", "/safe/", "r2"));
+    auto again = world.arrival();
+    again.socket->send(EdgeWorld::answer("r2", "two"));
+    CHECK(whole(*caller).body == "two");
+}
+
+TEST_CASE("a cut answer is asked for again only where that is allowed")
+{
+    const std::string cutAnswer = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Seal: s\r\n"
+                                  "Content-Length: 100\r\n\r\nhalf";
+    const std::string cookie = "Cookie: Affinity-Key=7\r\n";
+    EdgeWorld world(2);
+    {
+        const std::size_t home = world.homeOf("/safe/", "7");
+        auto caller = world.call(EdgeWorld::request("GET", "/safe/", "r1", cookie));
+        auto at = world.arrival(home);
+        at.socket->send(cutAnswer);
+        at.socket.reset();
+        auto again = world.arrival(1 - home);
+        again.socket->send(EdgeWorld::answer("r1", "all of it", "Connection: close\r\n"));
+        CHECK(whole(*caller).body == "all of it");
+    }
+    const std::size_t home = world.homeOf("/unsafe/", "7");
+    auto caller = world.call(EdgeWorld::request("POST", "/unsafe/", "r1", cookie, "x"));
+    auto at = world.arrival(home);
+    at.socket->send(cutAnswer);
+    at.socket.reset();
+    CHECK(whole(*caller).head.status() == 502);
+    // The next arrival at the other target is another request: the first was not sent again.
+    auto next = world.call(EdgeWorld::request(
+            "GET", "/safe/", "r2",
+            "Cookie: Affinity-Key=" + world.objectAt("/safe/", 1 - home) + "\r\n"));
+    CHECK(world.arrival(1 - home).head.header("request-id") == "r2");
+}
+
+TEST_CASE("a success without the target's signature never reaches the caller")
+{
+    EdgeWorld world;
+    auto caller = world.call(EdgeWorld::request("POST", "/unsafe/", "r1", {}, "x"));
+    auto at = world.arrival();
+    at.socket->send("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 2\r\n\r\nno");
+    CHECK(whole(*caller).head.status() == 502);
+}
+
+TEST_CASE("bytes that are no answer never reach the caller")
+{
+    EdgeWorld world;
+    auto caller = world.call(EdgeWorld::request("POST", "/unsafe/", "r1", {}, "x"));
+    auto at = world.arrival();
+    at.socket->send("garbage\r\n\r\n");
+    const RawAnswer answer = whole(*caller);
+    CHECK(answer.head.status() == 502);
+    CHECK(answer.head.header("basildeck-refusal") == "answer-invalid");
+}
+
+TEST_CASE("a request that a target sheds is refused truthfully with a time to come back")
+{
+    EdgeWorld world;
+    auto caller = world.call(EdgeWorld::request("POST", "/unsafe/", "r1", {}, "x"));
+    auto at = world.arrival();
+    at.socket->send("HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+    const RawAnswer answer = whole(*caller);
+    CHECK(answer.head.status() == 503);
+    CHECK(answer.head.header("basildeck-run") == "not-run");
+    CHECK_FALSE(answer.head.header("retry-after").empty());
+}
+
+TEST_CASE("keys and routes are checked, quotas kept")
+{
+    EdgeWorld world;
+    const std::string line = " HTTP/1.1\r\nHost: gauge.example\r\nRequest-Id: r\r\n";
+    auto caller = world.call("GET /safe/" + line + "\r\n");
+    CHECK(whole(*caller).head.status() == 401);
+    caller->send("GET /safe/" + line + "Api-Key: wrong\r\n\r\n");
+    CHECK(whole(*caller).head.status() == 401);
+    caller->send("GET /elsewhere/" + line + "Api-Key: alpha-key\r\n\r\n");
+    CHECK(whole(*caller).head.status() == 404);
+    caller->send("GET /safe/" + line + "Api-Key: beta-key\r\n\r\n");
+    const RawAnswer answer = whole(*caller);
+    CHECK(answer.head.status() == 429);
+    CHECK(answer.head.header("basildeck-refusal") == "over-rate");
+    CHECK_FALSE(answer.head.header("retry-after").empty());
+}
+
+TEST_CASE("an open route needs no key and names no organisation")
+{
+    EdgeWorld world;
+    auto caller = world.call(EdgeWorld::request("GET", "/open/", "r1", "Tenant: forged\r\n"));
+    auto at = world.arrival();
+    CHECK(at.head.header("tenant").empty());
+    CHECK(at.head.header("api-key").empty());
+    at.socket->send(EdgeWorld::answer("r1", "x"));
+    CHECK(whole(*caller).head.status() == 200);
+}
+
+TEST_CASE("the run of a caller that leaves is cancelled")
+{
+    EdgeWorld world;
+    auto caller = world.call(EdgeWorld::request("GET", "/safe/", "r1"));
+    auto at = world.arrival();
+    caller.reset();
+    CHECK_FALSE(at.socket->receive());
+}
+
+TEST_CASE("requests whose end is in doubt are refused and reach no target")
+{
+    const std::vector<std::string> fields = {
+        "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+        "Content-Length: 3\r\nContent-Length: 4\r\n",
+        "Content-Length: 3\r\nContent-Length: 3\r\n",
+        "Content-Length: +3\r\n",
+        "Content-Length: -3\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding : chunked\r\n",
+        "Transfer-Encoding: xchunked\r\n",
+    };
+    EdgeWorld world;
+    for (const std::string &field : fields) {
+        CAPTURE(field);
+        auto caller = world.call(EdgeWorld::request("POST", "/unsafe/", "r1", field) + "0\r\n\r\n");
+        CHECK(whole(*caller).head.status() == 400);
+        CHECK(caller->peerClosed());
+    }
+    auto caller = world.call(
+            EdgeWorld::request("POST", "/unsafe/", "r1", "Transfer-Encoding: chunked\r\n")
+            + "zz\r\nabc\r\n0\r\n\r\n");
+    CHECK(whole(*caller).head.status() == 400);
+}
+
+TEST_CASE("what exceeds the limits of the configuration is refused")
+{
+    EdgeWorld world;
+    auto big = world.call(
+            EdgeWorld::request("GET", "/safe/", "r1", "X: " + std::string(5000, 'x') + "\r\n"));
+    CHECK(whole(*big).head.status() == 431);
+    auto body = world.call(
+            EdgeWorld::request("POST", "/unsafe/", "r1", "Content-Length: 100001\r\n"));
+    CHECK(whole(*body).head.status() == 413);
+}
+
+TEST_CASE("a caller that expects to be asked for its body is asked")
+{
+    EdgeWorld world;
+    auto caller = world.call(EdgeWorld::request("POST", "/unsafe/", "r1",
+                                                "Expect: 100-continue\r\nContent-Length: 2\r\n"));
+    const auto interim = standin::readHead(*caller);
+    REQUIRE(interim);
+    CHECK(interim->status() == 100);
+    caller->send("ab");
+    auto at = world.arrival();
+    CHECK(at.head.header("expect").empty());
+    at.socket->send("HTTP/1.1 100 Continue\r\n\r\n" + EdgeWorld::answer("r1", "x"));
+    CHECK(whole(*caller).head.status() == 200);
+}
+
+TEST_CASE("a silent target ends in a timeout, a full one in a refusal that is true")
+{
+    EdgeWorld world(1, 1);
+    auto running = world.call(EdgeWorld::request("GET", "/quick/", "r1"));
+    auto at = world.arrival();
+    auto waiting = world.call(EdgeWorld::request("GET", "/quick/", "r2"));
+    const RawAnswer timedOut = whole(*running);
+    CHECK(timedOut.head.status() == 504);
+    CHECK(timedOut.head.header("basildeck-run") == "unknown");
+    CHECK_FALSE(at.socket->receive());
+}
+
+TEST_CASE("a long answer is passed on while it arrives")
+{
+    EdgeWorld world;
+    auto caller = world.call(EdgeWorld::request("GET", "/safe/", "r1"));
+    auto at = world.arrival();
+    const std::string part(100'000, 'p');
+    at.socket->send("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Seal: s\r\n"
+                    "Content-Length: 200000\r\n\r\n"
+                    + part);
+    CHECK(standin::readHead(*caller));
+    at.socket->send(part);
+    while (caller->buffer().size() < 200'000 && caller->receive()) {
+    }
+    CHECK(caller->buffer().size() == 200'000);
+}
+
+TEST_CASE("a long answer that is cut does not look complete")
+{
+    EdgeWorld world;
+    auto caller = world.call(EdgeWorld::request("GET", "/safe/", "r1"));
+    auto at = world.arrival();
+    at.socket->send("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Seal: s\r\n"
+                    "Transfer-Encoding: chunked\r\n\r\n186A0\r\n"
+                    + std::string(100'000, 'p') + "\r\n");
+    REQUIRE(standin::readHead(*caller));
+    at.socket.reset();
+    while (caller->receive()) {
+    }
+    CHECK(caller->buffer().find("\r\n0\r\n\r\n") == std::string::npos);
+}
+
+TEST_SUITE_END();
+
+} // namespace basildeck::test
