--- a/src/decide/QuotaShare.cpp
+++ b/src/decide/QuotaShare.cpp
@@ -16,7 +16,8 @@
     if (elapsed <= 0)
         return;
     m_updated = now;
-    m_demandCount *= std::exp(-elapsed / toSeconds(demandMemory));
+    m_slowCount *= std::exp(-elapsed / toSeconds(slowMemory));
+    m_fastCount *= std::exp(-elapsed / toSeconds(fastMemory));
     m_tokens = std::min(m_limit.burst * m_part + 1, m_tokens + m_limit.rate * m_part * elapsed);
 }
 
@@ -44,13 +45,14 @@
 double QuotaShare::demand(Time now)
 {
     advance(now);
-    return m_demandCount / toSeconds(demandMemory);
+    return std::max(m_slowCount / toSeconds(slowMemory), m_fastCount / toSeconds(fastMemory));
 }
 
 bool QuotaShare::admit(Time now)
 {
     advance(now);
-    m_demandCount += 1;
+    m_slowCount += 1;
+    m_fastCount += 1;
     if (m_limit.rate <= 0)
         return true;
     if (m_tokens < 1)
--- a/src/decide/QuotaShare.h
+++ b/src/decide/QuotaShare.h
@@ -12,6 +12,17 @@
     double rate = 0;  // requests per second, 0: no limit
     double burst = 0; // requests
     bool operator==(const QuotaLimit &other) const = default;
+
+    // Part of what a window may exceed a limit by that is used in calm, to even out how requests
+    // fall on the VMs. The rest covers VMs that disagree on who is reachable.
+    static constexpr double evenedOut = 0.7;
+
+    // The limit that the VMs divide among themselves, where a window may exceed the limit by a part
+    // of it and a number of requests.
+    QuotaLimit withOvershoot(double part, double requests) const
+    {
+        return { rate * (1 + part * evenedOut), burst + requests * evenedOut };
+    }
 };
 
 // What the VMs that this one hears from want of one organisation's quota.
@@ -29,8 +40,10 @@
 class QuotaShare
 {
 public:
-    // Time constant of the demand average.
-    static constexpr Duration demandMemory = milliseconds(1500);
+    // Time constants of the two demand averages. The higher one counts: the slow one keeps parts
+    // steady in calm, the fast one follows callers that move.
+    static constexpr Duration slowMemory = milliseconds(2500);
+    static constexpr Duration fastMemory = milliseconds(500);
     // Demand in requests per second that each VM is taken to have besides the demand it reports, so
     // that a first request finds a token.
     static constexpr double baseDemand = 0.5;
@@ -54,7 +67,8 @@
     QuotaLimit m_limit;
     double m_part = 0;
     double m_tokens = 0;
-    double m_demandCount = 0; // decaying count of requests
+    double m_slowCount = 0; // decaying counts of requests
+    double m_fastCount = 0;
     Time m_updated;
 };
 
--- a/src/edge/Forwarder.cpp
+++ b/src/edge/Forwarder.cpp
@@ -92,7 +92,10 @@
         const auto known = m_quotas.find(organisation.name);
         const auto [quota, added] = quotas.emplace(
                 organisation.name, known == m_quotas.end() ? QuotaShare(now) : known->second);
-        quota->second.setLimit({ organisation.rate, organisation.burst }, now);
+        const QuotaLimit limit{ organisation.rate, organisation.burst };
+        quota->second.setLimit(
+                limit.withOvershoot(m_settings.bounds.quotaOvershoot, m_settings.bounds.quotaSlack),
+                now);
     }
     m_quotas = std::move(quotas);
     for (const Service &service : m_routing->config().services) {
--- /dev/null
+++ b/tests/PeerTableTest.cpp
@@ -0,0 +1,85 @@
+#include "decide/PeerTable.h"
+
+#include <doctest/doctest.h>
+
+namespace basildeck {
+
+namespace {
+
+PeerBeat beat(const std::string &vm, std::uint64_t incarnation, std::uint64_t sequence)
+{
+    PeerBeat result;
+    result.vm = vm;
+    result.incarnation = incarnation;
+    result.sequence = sequence;
+    result.region = "north";
+    result.gossipAddress = vm + ":1";
+    return result;
+}
+
+} // namespace
+
+TEST_SUITE_BEGIN("peer table");
+
+TEST_CASE("old beats are ignored, silent VMs are not reachable but still counted")
+{
+    const Time now = Time() + seconds(100);
+    PeerTable table("self");
+    CHECK_FALSE(table.heard(beat("self", 1, 1), now));
+    CHECK(table.heard(beat("a", 2, 5), now));
+    CHECK_FALSE(table.heard(beat("a", 2, 4), now));
+    CHECK_FALSE(table.heard(beat("a", 1, 9), now));
+    CHECK(table.heard(beat("a", 3, 1), now));
+    CHECK(table.reachable(now).size() == 1);
+    CHECK(table.reachable(now + PeerTable::silence + milliseconds(1)).empty());
+    CHECK(table.registeredCount() == 2);
+    table.setRegistered({ { "self", "self:1" }, { "a", "a:1" }, { "b", "b:1" } });
+    table.tick(now + PeerTable::memory * 2);
+    CHECK(table.registeredCount() == 3);
+    CHECK(table.gossipAddresses() == std::vector<std::string>{ "a:1", "b:1" });
+}
+
+TEST_CASE("a process whose clock was set back is heard once the one before is silent")
+{
+    const Time now = Time() + seconds(100);
+    PeerTable table("self");
+    table.heard(beat("a", 50, 5), now);
+    CHECK_FALSE(table.heard(beat("a", 40, 1), now + milliseconds(100)));
+    CHECK(table.heard(beat("a", 40, 2), now + PeerTable::silence + milliseconds(1)));
+}
+
+TEST_CASE("a VM without the list of VMs finds them by introductions")
+{
+    PeerTable table("self");
+    table.introduced("c:1");
+    CHECK(table.gossipAddresses() == std::vector<std::string>{ "c:1" });
+    table.setRegistered({ { "a", "a:1" } });
+    CHECK(table.gossipAddresses() == std::vector<std::string>{ "a:1" });
+}
+
+TEST_CASE("the newest copy is that of a reachable VM that knows of a later change")
+{
+    const Time now = Time() + seconds(100);
+    PeerTable table("self");
+    PeerBeat a = beat("a", 1, 1);
+    a.revisions = { { "config", 10 } };
+    PeerBeat b = beat("b", 1, 1);
+    b.revisions = { { "config", 12 } };
+    table.heard(a, now);
+    table.heard(b, now - PeerTable::silence * 2);
+    CHECK(table.newestCopy("config", 9, now)->vm == "a");
+    CHECK(table.newestCopy("config", 10, now) == nullptr);
+    CHECK(table.newestCopy("other", 0, now) == nullptr);
+}
+
+TEST_CASE("callers are named the VMs of their region, and others only without any")
+{
+    const std::vector<DirectoryEntry> serving = { { "x", "north", "n1" }, { "y", "south", "s1" } };
+    CHECK(directoryAddresses(serving, "north", 64) == std::vector<std::string>{ "x" });
+    CHECK(directoryAddresses(serving, "west", 64) == std::vector<std::string>{ "x", "y" });
+    CHECK(directoryAddresses(serving, "west", 1).size() == 1);
+}
+
+TEST_SUITE_END();
+
+} // namespace basildeck
--- /dev/null
+++ b/tests/PlacementTest.cpp
@@ -0,0 +1,180 @@
+#include "decide/Placement.h"
+#include "core/Hash.h"
+#include "decide/ColdLimit.h"
+#include "decide/OutlierWatch.h"
+#include "decide/TargetChoice.h"
+#include "decide/TargetGate.h"
+#include "decide/WeightedSplit.h"
+
+#include <doctest/doctest.h>
+
+namespace basildeck {
+
+namespace {
+
+constexpr int objects = 2000;
+
+std::vector<PlacedTarget> targets(const std::map<std::string, int> &counts)
+{
+    std::vector<PlacedTarget> result;
+    for (const auto &[region, count] : counts) {
+        for (int i = 0; i < count; ++i)
+            result.push_back({ region + std::to_string(i), region, 4 });
+    }
+    return result;
+}
+
+std::string firstHome(const Placement &placement, int object, std::string_view region,
+                      const std::vector<std::string> &allowed = {})
+{
+    const auto homes
+            = placement.homes(stableHash("object", std::to_string(object)), region, allowed, 1);
+    return homes.first.empty() ? std::string() : std::string(homes.first.front());
+}
+
+} // namespace
+
+TEST_SUITE_BEGIN("placement");
+
+TEST_CASE("a target that goes moves only its own objects")
+{
+    Placement before;
+    before.setTargets(targets({ { "a", 6 }, { "b", 6 } }));
+    auto left = targets({ { "a", 6 }, { "b", 6 } });
+    std::erase_if(left, [](const PlacedTarget &t) { return t.id == "a3"; });
+    Placement after;
+    after.setTargets(left);
+    int moved = 0;
+    for (int object = 0; object < objects; ++object) {
+        const std::string home = firstHome(before, object, "a");
+        if (home == "a3" || home.front() == 'b')
+            continue;
+        // The share of the region shrinks a little, which may move an object elsewhere.
+        moved += firstHome(after, object, "a") != home ? 1 : 0;
+    }
+    CHECK(moved <= objects / 10);
+}
+
+TEST_CASE("a region with few targets keeps no more objects than its slots bear")
+{
+    Placement placement;
+    placement.setTargets(targets({ { "khomas", 2 }, { "erongo", 10 }, { "karas", 12 } }));
+    int local = 0;
+    for (int object = 0; object < objects; ++object)
+        local += firstHome(placement, object, "khomas").starts_with("khomas") ? 1 : 0;
+    CHECK(local == doctest::Approx(objects * 0.25).epsilon(0.2));
+    CHECK(placement.localShare("karas") == 1.0);
+}
+
+TEST_CASE("homes stay in the allowed regions")
+{
+    Placement placement;
+    placement.setTargets(targets({ { "a", 3 }, { "b", 3 }, { "c", 3 } }));
+    for (int object = 0; object < objects; ++object) {
+        const auto homes = placement.homes(stableHash(std::to_string(object)), "a", { "b" }, 3);
+        CHECK(homes.first.size() == 3);
+        CHECK(homes.second.empty());
+        for (const std::string_view home : homes.first)
+            CHECK(home.starts_with("b"));
+    }
+    CHECK(firstHome(placement, 1, "a", { "d" }).empty());
+}
+
+TEST_CASE("a gate grows while nobody waits at the target and shrinks when it sheds")
+{
+    TargetGate gate(4);
+    CHECK(gate.allowance() == 2);
+    for (int i = 0; i < 20; ++i) {
+        gate.started();
+        gate.answered("kind", milliseconds(100), LoadReport{ 1, 0, 4 });
+    }
+    CHECK(gate.allowance() == 4);
+    gate.started();
+    gate.shed();
+    CHECK(gate.allowance() < 4);
+    for (int i = 0; i < 50; ++i) {
+        gate.started();
+        gate.answered("kind", milliseconds(100), LoadReport{ 4, 5, 4 });
+    }
+    CHECK(gate.allowance() == 1);
+    CHECK(gate.inFlight() == 0);
+}
+
+TEST_CASE("the most urgent waiting request is served first, then the oldest")
+{
+    TargetGate gate(1);
+    gate.started();
+    gate.push({ 1, 2 });
+    gate.push({ 2, 1 });
+    gate.push({ 3, 2 });
+    gate.push({ 4, 1 });
+    CHECK_FALSE(gate.pop());
+    gate.ended();
+    CHECK(gate.pop()->id == 2);
+    CHECK(gate.pop()->id == 4);
+    CHECK(gate.forget(1));
+    CHECK_FALSE(gate.forget(1));
+    CHECK(gate.pop()->id == 3);
+}
+
+TEST_CASE("a request that would wait and be late is refused with a time to come back")
+{
+    const Duration objective = milliseconds(300);
+    const Duration timeout = milliseconds(1200);
+    const auto queued
+            = chooseHome({ { milliseconds(100), milliseconds(150) } }, objective, timeout);
+    CHECK(queued.home == 0);
+    const auto second = chooseHome(
+            { { milliseconds(200), milliseconds(150) }, { milliseconds(0), milliseconds(250) } },
+            objective, timeout);
+    CHECK(second.home == 1);
+    const auto late = chooseHome({ { milliseconds(0), milliseconds(900) } }, objective, timeout);
+    CHECK(late.home == 0);
+    const auto refused
+            = chooseHome({ { milliseconds(400), milliseconds(150) } }, objective, timeout);
+    CHECK_FALSE(refused.home);
+    CHECK(refused.retryAfter == milliseconds(400));
+}
+
+TEST_CASE("a cold target gets its part, starting without tokens")
+{
+    const Time now = Time() + seconds(1);
+    ColdLimit cold(10, now);
+    CHECK_FALSE(cold.take(now));
+    int taken = 0;
+    for (int i = 1; i <= 2000; ++i)
+        taken += cold.take(now + milliseconds(i)) ? 1 : 0;
+    CHECK(taken <= 20);
+    CHECK(taken >= 18);
+}
+
+TEST_CASE("a failing target is set aside, longer each time, and comes back after a success")
+{
+    Time now = Time() + seconds(1);
+    OutlierWatch watch;
+    CHECK_FALSE(watch.failed(now));
+    CHECK_FALSE(watch.failed(now));
+    CHECK(watch.failed(now));
+    CHECK(watch.isEjected(now));
+    now += OutlierWatch::firstEjection;
+    CHECK_FALSE(watch.isEjected(now));
+    CHECK(watch.failed(now));
+    CHECK(watch.isEjected(now + OutlierWatch::firstEjection));
+    watch.succeeded();
+    CHECK_FALSE(watch.failed(now + seconds(10)));
+}
+
+TEST_CASE("weights are kept at every point of the sequence")
+{
+    WeightedSplit split({ 90, 10 });
+    int second = 0;
+    for (int i = 1; i <= 1000; ++i) {
+        second += split.next() == 1 ? 1 : 0;
+        CHECK(second >= i / 10 - 1);
+        CHECK(second <= i / 10 + 1);
+    }
+}
+
+TEST_SUITE_END();
+
+} // namespace basildeck
