A fault soak: entry VMs as processes, harmed from outside

Cause: nothing of ours ran the program against overlapping faults. Change: tools/soak plays the store of the platform, targets and callers on one event loop, starts five processes of the program, and harms them by signals, store faults, proxies on the links to the store and to targets, and misbehaving targets; it checks at most once, true refusals, whole and own answers, organisations, keys, quotas, leaving targets, ends within the grace and recovery. Not covered: clocks, links between VMs.

--- /dev/null
+++ b/tools/soak/SoakStore.cpp
@@ -0,0 +1,186 @@
+#include "soak/SoakStore.h"
+
+#include "soak/Proxy.h"
+
+#include <algorithm>
+
+namespace basildeck::soak {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr std::string_view prefix = "/api/objects/";
+constexpr std::size_t maxBodyBytes = 1 << 20;
+
+std::string queryValue(const std::string &query, const std::string &name)
+{
+    const std::size_t at = query.find(name + "=");
+    if (at == std::string::npos)
+        return {};
+    const std::size_t from = at + name.size() + 1;
+    return query.substr(from, query.find('&', from) - from);
+}
+
+} // namespace
+
+std::unique_ptr<SoakStore> SoakStore::make(EventLoop &loop, const Address &at)
+{
+    std::unique_ptr<SoakStore> store(new SoakStore(loop));
+    SoakStore *raw = store.get();
+    auto server = EdgeServer::make(
+            loop, at,
+            { [raw](IncomingRequest request) { return raw->take(std::move(request)); },
+              [raw](const AnswerSink &sink, ErrorKind) { raw->answer(sink, 400, json::object()); },
+              [raw](std::uint64_t id) {
+                  std::erase_if(raw->m_watches, [&](const Watch &w) { return w.id == id; });
+              },
+              [](std::uint64_t) {} },
+            maxBodyBytes);
+    if (!server)
+        return nullptr;
+    store->m_server = std::move(server.value());
+    return store;
+}
+
+void SoakStore::answer(const AnswerSink &sink, int status, const json &body)
+{
+    const std::string text = body.dump();
+    sink.head("HTTP/1.1 " + std::to_string(status)
+              + " X\r\nContent-Length: " + std::to_string(text.size()) + "\r\n");
+    sink.body(text);
+    sink.finish(false);
+}
+
+std::uint64_t SoakStore::take(IncomingRequest request)
+{
+    const std::uint64_t id = m_nextId++;
+    const std::string &target = request.head.request.target;
+    if (m_mode == StoreMode::Silent)
+        return id;
+    if (m_mode == StoreMode::Busy || !target.starts_with(prefix)) {
+        answer(request.sink, 503, json::object());
+        return id;
+    }
+    const std::size_t question = target.find('?');
+    const std::string query = question == std::string::npos ? "" : target.substr(question + 1);
+    const std::string watched = queryValue(query, "watch");
+    if (watched.empty()) {
+        takeCall(request);
+        return id;
+    }
+    const std::string kind = target.substr(prefix.size(), question - prefix.size());
+    const Watch watch{ id, kind, std::stoull(watched), request.sink };
+    if (answerWatch(watch, false))
+        return id;
+    m_watches.push_back(watch);
+    callLater(m_loop, milliseconds(std::stoll(queryValue(query, "wait_ms"))), [this, id] {
+        const auto found = std::find_if(m_watches.begin(), m_watches.end(),
+                                        [&](const Watch &w) { return w.id == id; });
+        if (found == m_watches.end())
+            return;
+        answerWatch(*found, true);
+        m_watches.erase(found);
+    });
+    return id;
+}
+
+void SoakStore::takeCall(const IncomingRequest &request)
+{
+    const std::string path = request.head.request.target.substr(prefix.size());
+    const std::size_t slash = path.find('/');
+    const std::string kind = path.substr(0, std::min(slash, path.find('?')));
+    const std::string &method = request.head.request.method;
+    if (slash == std::string::npos) {
+        list(kind, request.sink);
+        return;
+    }
+    const std::string name = path.substr(slash + 1);
+    const bool exists = m_objects[kind].contains(name);
+    int status = 200;
+    if (method == "POST" && exists)
+        status = 409;
+    else if (method != "POST" && !exists)
+        status = 404;
+    else if (method == "DELETE")
+        remove(kind, name);
+    else
+        put(kind, name, json::parse(request.body).at("spec"));
+    if (m_mode == StoreMode::LosesAnswers) {
+        request.sink.cut();
+        return;
+    }
+    answer(request.sink, status, json::object());
+}
+
+void SoakStore::list(const std::string &kind, const AnswerSink &sink)
+{
+    json items = json::array();
+    for (const auto &[name, object] : m_objects[kind])
+        items.push_back(object);
+    answer(sink, 200, { { "items", items }, { "more", false }, { "store_revision", m_revision } });
+}
+
+bool SoakStore::answerWatch(const Watch &watch, bool timedOut)
+{
+    if (watch.from < m_historyFrom) {
+        answer(watch.sink, 410, json::object());
+        return true;
+    }
+    json events = json::array();
+    for (const Change &change : m_changes) {
+        if (change.kind == watch.kind && change.revision > watch.from)
+            events.push_back({ { "object", change.object }, { "deleted", change.deleted } });
+    }
+    if (events.empty() && !timedOut)
+        return false;
+    answer(watch.sink, 200, { { "events", events }, { "store_revision", m_revision } });
+    return true;
+}
+
+void SoakStore::note(const std::string &kind, const json &object, bool deleted)
+{
+    m_changes.push_back({ m_revision, kind, object, deleted });
+    if (m_mode != StoreMode::Normal)
+        return;
+    const auto watches = m_watches;
+    for (const Watch &watch : watches) {
+        if (watch.kind == kind && answerWatch(watch, false))
+            std::erase_if(m_watches, [&](const Watch &w) { return w.id == watch.id; });
+    }
+}
+
+void SoakStore::put(const std::string &kind, const std::string &name, const json &content)
+{
+    ++m_revision;
+    const json object = { { "metadata", { { "name", name }, { "revision", m_revision } } },
+                          { "spec", content } };
+    m_objects[kind][name] = object;
+    note(kind, object, false);
+}
+
+void SoakStore::remove(const std::string &kind, const std::string &name)
+{
+    const auto found = m_objects[kind].find(name);
+    if (found == m_objects[kind].end())
+        return;
+    ++m_revision;
+    json object = found->second;
+    object["metadata"]["revision"] = m_revision;
+    m_objects[kind].erase(found);
+    note(kind, object, true);
+}
+
+void SoakStore::forgetHistory()
+{
+    m_historyFrom = m_revision;
+    m_changes.clear();
+}
+
+std::size_t SoakStore::count(const std::string &kind) const
+{
+    const auto found = m_objects.find(kind);
+    return found == m_objects.end() ? 0 : found->second.size();
+}
+
+} // namespace basildeck::soak
--- /dev/null
+++ b/tools/soak/SoakVms.cpp
@@ -0,0 +1,175 @@
+#include "soak/SoakVms.h"
+
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <csignal>
+#include <fstream>
+
+namespace basildeck::soak {
+
+namespace {
+
+constexpr std::uint16_t readyPort = 8384;
+constexpr std::uint16_t lookupPort = 8383;
+constexpr std::uint16_t storeLinkPort = 8385;
+// Part of the grace by which a process may end later, because the machine is shared.
+constexpr Duration graceTolerance = seconds(1);
+
+} // namespace
+
+SoakVms::SoakVms(EventLoop &loop, std::string program, std::string folder, int network)
+    : m_loop(loop)
+    , m_program(std::move(program))
+    , m_folder(std::move(folder))
+    , m_network(network)
+{}
+
+SoakVms::~SoakVms()
+{
+    for (const Vm &vm : m_vms) {
+        if (vm.pid > 0) {
+            kill(vm.pid, SIGKILL);
+            waitpid(vm.pid, nullptr, 0);
+        }
+    }
+}
+
+Address SoakVms::callerAddress(std::size_t vm) const
+{
+    return { m_vms.at(vm).ip, callerPort };
+}
+
+bool SoakVms::add(const std::string &zone, const std::string &region, const Address &store)
+{
+    Vm vm;
+    const std::string number = std::to_string(m_vms.size() + 1);
+    vm.name = "vm-" + number;
+    vm.ip = "127." + std::to_string(m_network) + ".1." + number;
+    vm.settingsFile = m_folder + "/" + vm.name + ".conf";
+    vm.logFile = m_folder + "/" + vm.name + ".log";
+    const Address link{ vm.ip, storeLinkPort };
+    vm.storeLink = Proxy::make(m_loop, link, store);
+    if (!vm.storeLink)
+        return false;
+    writeSettings(vm, zone, region, link);
+    m_vms.push_back(std::move(vm));
+    start(m_vms.size() - 1);
+    return true;
+}
+
+void SoakVms::writeSettings(const Vm &vm, const std::string &zone, const std::string &region,
+                            const Address &storeLink) const
+{
+    std::ofstream out(vm.settingsFile);
+    const auto at = [&](std::uint16_t port) { return vm.ip + ":" + std::to_string(port); };
+    out << "node_name=" << vm.name << "\nregion=" << region << "\nzone=" << zone << "\nip=" << vm.ip
+        << "\nzones.north-a=north\nzones.south-a=south\n"
+        << "listen.front=" << at(callerPort) << "\nlisten.ready=" << at(readyPort)
+        << "\nlisten.directory=" << at(lookupPort) << "\nprovider.address=" << storeLink.toString()
+        << "\ninternal_port_range=7560,7575\nlimits.memory_mb=256\n"
+        << "bounds=grace=6s,ttl_max=5s,retry_budget_ratio=0.2,retry_budget_slack=64,"
+           "quota_overshoot=0.1,quota_slack=20,cold_overshoot=1.5,cold_slack=5\n";
+}
+
+void SoakVms::start(std::size_t number)
+{
+    Vm &vm = m_vms.at(number);
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, vm.logFile.c_str(),
+                                     O_WRONLY | O_CREAT | O_APPEND, 0644);
+    posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    std::string edge = "edge";
+    std::string option = "--settings";
+    const std::array<char *, 5> arguments
+            = { m_program.data(), edge.data(), option.data(), vm.settingsFile.data(), nullptr };
+    if (posix_spawn(&vm.pid, m_program.c_str(), &actions, nullptr, arguments.data(), environ)
+        != 0) {
+        vm.pid = 0;
+        m_faults.push_back(vm.name + " could not be started");
+    }
+    posix_spawn_file_actions_destroy(&actions);
+    vm.termAt.reset();
+    vm.killedAt.reset();
+    vm.paused = false;
+    vm.disturbedAt = m_loop.now();
+}
+
+void SoakVms::noteDisturbance(std::size_t vm)
+{
+    m_vms.at(vm).disturbedAt = m_loop.now();
+}
+
+void SoakVms::signal(std::size_t number, int signal)
+{
+    Vm &vm = m_vms.at(number);
+    noteDisturbance(number);
+    if (vm.pid == 0)
+        return;
+    if (signal == SIGTERM && !vm.termAt)
+        vm.termAt = m_loop.now();
+    if (signal == SIGKILL)
+        vm.killedAt = m_loop.now();
+    if (signal == SIGSTOP)
+        vm.paused = true;
+    // A pause takes time that the grace does not count.
+    if (vm.paused && vm.termAt)
+        vm.termAt = m_loop.now();
+    if (signal == SIGCONT)
+        vm.paused = false;
+    kill(vm.pid, signal);
+}
+
+void SoakVms::setStoreLink(std::size_t vm, ProxyMode mode)
+{
+    noteDisturbance(vm);
+    m_vms.at(vm).storeLink->setMode(mode);
+}
+
+void SoakVms::takeEnd(Vm &vm, int status)
+{
+    const bool exited = WIFEXITED(status) && WEXITSTATUS(status) == 0;
+    const bool wasKilled = WIFSIGNALED(status) && WTERMSIG(status) == SIGKILL && vm.killedAt;
+    if (!wasKilled && !(exited && vm.termAt))
+        m_faults.push_back(vm.name + " ended by itself, status " + std::to_string(status));
+    vm.pid = 0;
+}
+
+void SoakVms::tick()
+{
+    const Time now = m_loop.now();
+    for (std::size_t i = 0; i < m_vms.size(); ++i) {
+        Vm &vm = m_vms[i];
+        int status = 0;
+        if (vm.pid > 0 && waitpid(vm.pid, &status, WNOHANG) == vm.pid)
+            takeEnd(vm, status);
+        if (vm.pid == 0 && !m_leaving)
+            start(i);
+        if (vm.pid > 0 && vm.termAt && !vm.paused && !vm.killedAt
+            && now - *vm.termAt > grace + graceTolerance) {
+            m_faults.push_back(vm.name + " did not end within its grace");
+            signal(i, SIGKILL);
+        }
+    }
+}
+
+void SoakVms::leaveAll()
+{
+    m_leaving = true;
+    for (std::size_t i = 0; i < m_vms.size(); ++i) {
+        signal(i, SIGCONT);
+        signal(i, SIGTERM);
+    }
+}
+
+bool SoakVms::allEnded() const
+{
+    return std::all_of(m_vms.begin(), m_vms.end(), [](const Vm &vm) { return vm.pid == 0; });
+}
+
+} // namespace basildeck::soak
