A wait ends when the request would be late, and queues count from the start

Change: until the first answer a run is taken to last 200 ms; a request that still waits when it can no longer be in time goes to a home that is free or is refused. Tests: two, failing before.

--- a/src/decide/TargetGate.cpp
+++ b/src/decide/TargetGate.cpp
@@ -35,8 +35,8 @@
                                      [&](const Waiting &w) { return w.priority <= priority; });
     if (ahead == 0 && hasRoom())
         return Duration::zero();
-    return fromSeconds(m_runSeconds * static_cast<double>(ahead + 1)
-                       / static_cast<int>(m_allowance));
+    const double runSeconds = m_runSeconds > 0 ? m_runSeconds : toSeconds(assumedRun);
+    return fromSeconds(runSeconds * static_cast<double>(ahead + 1) / static_cast<int>(m_allowance));
 }
 
 Duration TargetGate::expectedRun(const std::string &kind) const
--- a/src/decide/TargetGate.h
+++ b/src/decide/TargetGate.h
@@ -37,6 +37,8 @@
     static constexpr double shedFactor = 0.6;
     // Weight of a new observation in moving averages.
     static constexpr double averageWeight = 0.2;
+    // How long a run is taken to last until the first answer.
+    static constexpr Duration assumedRun = milliseconds(200);
 
     explicit TargetGate(int slots);
 
--- a/src/edge/ForwardedRequest.h
+++ b/src/edge/ForwardedRequest.h
@@ -78,6 +78,7 @@
     TargetAnswer answer;
     std::unique_ptr<Timer> deadlineTimer;
     std::unique_ptr<Timer> connectTimer;
+    std::unique_ptr<Timer> waitTimer; // ends a wait that would make the request late
 
     bool isIdempotent() const { return route->idempotence == Idempotence::Always; }
 };
--- a/src/edge/Forwarder.cpp
+++ b/src/edge/Forwarder.cpp
@@ -289,6 +289,22 @@
     request.target = target.info.id;
     request.isWaiting = true;
     target.gate.push({ request.id, request.priority });
+    const Duration run = target.gate.expectedRun(request.route->name);
+    request.waitTimer
+            = std::make_unique<Timer>(m_loop, [this, &request] { takeLongWait(request); });
+    request.waitTimer->startOnce(
+            std::max(Duration::zero(), request.objective - run - m_loop.now()));
+}
+
+// The queue was slower than expected: another home may be free by now, else the request is refused.
+void Forwarder::takeLongWait(Request &request)
+{
+    TargetState *target = m_targets.find(request.target);
+    if (!request.isWaiting || target == nullptr)
+        return;
+    target->gate.forget(request.id);
+    request.isWaiting = false;
+    dispatch(request);
 }
 
 void Forwarder::serveQueue(TargetState &target)
@@ -392,6 +408,7 @@
 void Forwarder::finish(Request &request)
 {
     request.deadlineTimer.reset();
+    request.waitTimer.reset();
     request.connectTimer.reset();
     const auto found = m_requests.find(request.id);
     if (found == m_requests.end())
--- a/src/edge/Forwarder.h
+++ b/src/edge/Forwarder.h
@@ -70,6 +70,7 @@
     std::vector<TargetState *> usableHomes(const Request &request, Time now);
     void enqueue(Request &request, TargetState &target);
     void start(Request &request, TargetState &target);
+    void takeLongWait(Request &request);
     void serveQueue(TargetState &target);
     void targetClosed(TargetState &target);
 
--- a/tests/EdgeForwardingTest.cpp
+++ b/tests/EdgeForwardingTest.cpp
@@ -317,6 +317,23 @@
     CHECK_FALSE(at.socket->receive());
 }
 
+// dct-lb, inc-d8b3: a request that waits is refused when it can no longer be in time, not at its
+// deadline.
+TEST_CASE("a wait ends when the request would be late")
+{
+    EdgeWorld world(1, 1);
+    auto running = world.call(EdgeWorld::request("GET", "/prompt/", "r1"));
+    auto at = world.arrival();
+    const Time sent = Clock::now();
+    auto waiting = world.call(EdgeWorld::request("GET", "/prompt/", "r2"));
+    const RawAnswer refused = whole(*waiting);
+    CHECK(refused.head.status() == 503);
+    CHECK(refused.head.header("basildeck-run") == "not-run");
+    CHECK(Clock::now() - sent < milliseconds(EdgeWorld::promptTimeoutMs));
+    at.socket->send(EdgeWorld::answer("r1", "one"));
+    CHECK(whole(*running).body == "one");
+}
+
 TEST_CASE("a long answer is passed on while it arrives")
 {
     EdgeWorld world;
--- a/tests/EdgeWorld.cpp
+++ b/tests/EdgeWorld.cpp
@@ -44,10 +44,12 @@
     FleetConfig config;
     config.routes
             = { makeRoute("/safe/", Idempotence::Always), makeRoute("/unsafe/", Idempotence::Never),
-                makeRoute("/quick/", Idempotence::Always),
-                makeRoute("/open/", Idempotence::Always) };
+                makeRoute("/quick/", Idempotence::Always), makeRoute("/open/", Idempotence::Always),
+                makeRoute("/prompt/", Idempotence::Always) };
     config.routes[2].timeoutMs = 200;
     config.routes[3].open = true;
+    config.routes[4].timeoutMs = promptTimeoutMs;
+    config.routes[4].objectiveMs = 300;
     config.organisations
             = { makeOrganisation("alpha", key, 0), makeOrganisation("beta", poorKey, 0.001) };
     Service service;
--- a/tests/EdgeWorld.h
+++ b/tests/EdgeWorld.h
@@ -16,6 +16,8 @@
 class EdgeWorld
 {
 public:
+    // Of the route /prompt/, whose objective is a small part of it.
+    static constexpr int promptTimeoutMs = 8000;
     static constexpr const char *key = "alpha-key";
     static constexpr const char *poorKey = "beta-key"; // of an organisation without quota
 
--- a/tests/PlacementTest.cpp
+++ b/tests/PlacementTest.cpp
@@ -100,6 +100,18 @@
     CHECK(gate.inFlight() == 0);
 }
 
+// dct-lb, inc-d8b3: before the first answers each wait counted as none, and requests were held for
+// two seconds and refused.
+TEST_CASE("a queue counts before anything is known of the target")
+{
+    TargetGate gate(4);
+    gate.started();
+    gate.started();
+    CHECK(gate.expectedWait(1) > Duration::zero());
+    gate.push({ 1, 1 });
+    CHECK(gate.expectedWait(1) >= TargetGate::assumedRun);
+}
+
 TEST_CASE("the most urgent waiting request is served first, then the oldest")
 {
     TargetGate gate(1);
