--- a/src/edge/Forwarder.cpp
+++ b/src/edge/Forwarder.cpp
@@ -21,6 +21,25 @@
 constexpr Duration quarantineRetryAfter = seconds(2);
 constexpr Duration shortestQuotaRetryAfter = milliseconds(200);
 
+// What was known of each home: requests in flight of those allowed, expected wait and run.
+std::string describeHomes(const std::vector<TargetState *> &homes,
+                          const std::vector<HomeLoad> &loads)
+{
+    std::string text = "homes=";
+    for (std::size_t i = 0; i < homes.size(); ++i) {
+        const TargetGate &gate = homes[i]->gate;
+        const auto count = [](Duration d) {
+            return std::to_string(std::chrono::duration_cast<milliseconds>(d).count());
+        };
+        text += (i > 0 ? "," : "") + homes[i]->info.id
+                + ":in_flight=" + std::to_string(gate.inFlight()) + "/"
+                + std::to_string(static_cast<int>(gate.allowance()))
+                + ":waiting=" + std::to_string(gate.waiting()) + ":wait_ms=" + count(loads[i].wait)
+                + ":run_ms=" + count(loads[i].run);
+    }
+    return text;
+}
+
 std::string_view hostWithoutPort(std::string_view host)
 {
     return host.substr(0, host.find(':'));
@@ -227,7 +246,10 @@
     if (quota == m_quotas.end() || quota->second.admit(now))
         return true;
     refuse(request, ErrorKind::OverRate,
-           std::max(shortestQuotaRetryAfter, quota->second.nextToken()));
+           std::max(shortestQuotaRetryAfter, quota->second.nextToken()),
+           "quota_part=" + std::to_string(quota->second.part())
+                   + " demand_per_s=" + std::to_string(quota->second.demand(now))
+                   + " vms=" + std::to_string(m_vmCount));
     return false;
 }
 
@@ -268,7 +290,7 @@
         const TargetDecision decision
                 = chooseHome(loads, request.objective - now, request.deadline - now);
         if (!decision.home) {
-            refuse(request, ErrorKind::QueueFull, decision.retryAfter);
+            refuse(request, ErrorKind::QueueFull, decision.retryAfter, describeHomes(homes, loads));
             return;
         }
         TargetState &target = *homes[*decision.home];
@@ -369,7 +391,8 @@
               [this, &request](ExchangeFailure how) { takeFailure(request, how); } });
 }
 
-void Forwarder::refuse(Request &request, ErrorKind kind, Duration retryAfter)
+void Forwarder::refuse(Request &request, ErrorKind kind, Duration retryAfter,
+                       const std::string &detail)
 {
     const Time now = m_loop.now();
     // An earlier send may have run: an answer that denies it would be false.
@@ -384,7 +407,8 @@
             << " sends=" << request.sends << " age_ms="
             << std::chrono::duration_cast<milliseconds>(now - request.incoming.received).count()
             << " retry_after_ms=" << std::chrono::duration_cast<milliseconds>(retryAfter).count()
-            << " config_revision=" << (request.routing ? request.routing->revision() : 0);
+            << " config_revision=" << (request.routing ? request.routing->revision() : 0)
+            << (detail.empty() ? "" : " ") << detail;
     m_metrics.countRefusal(kind, routeName, organisationName(request));
     OwnAnswer answer
             = refusalAnswer(kind, status, m_names.requestId, request.callerRequestId, retryAfter);
--- a/src/edge/Forwarder.h
+++ b/src/edge/Forwarder.h
@@ -90,7 +90,9 @@
 
     // Retries that this VM may spend at once after a calm time.
     double savedRetries() const;
-    void refuse(Request &request, ErrorKind kind, Duration retryAfter = Duration::zero());
+    // The detail names what decided, for the log.
+    void refuse(Request &request, ErrorKind kind, Duration retryAfter = Duration::zero(),
+                const std::string &detail = {});
     void finish(Request &request);
     std::string organisationName(const Request &request) const;
 
