Parts of a quota grow only with demand that the others were told of

Change: a VM's own part follows the lower of the demands in its last two beats. Beats of a larger fleet are slower and silence longer with them.

--- a/src/decide/PeerTable.cpp
+++ b/src/decide/PeerTable.cpp
@@ -22,7 +22,7 @@
                 = beat.incarnation < last.incarnation
                   || (beat.incarnation == last.incarnation && beat.sequence <= last.sequence);
         // A clock that was set back gives a new process a lower number than the one before.
-        if (isOld && now - known->second.heardAt <= silence)
+        if (isOld && now - known->second.heardAt <= silence())
             return false;
     }
     m_heard[beat.vm] = { beat, now };
@@ -41,11 +41,24 @@
     });
 }
 
+Duration PeerTable::beatPeriod() const
+{
+    const auto others = static_cast<double>(registeredCount() - 1);
+    const auto paced = std::chrono::duration_cast<Duration>(
+            std::chrono::duration<double>(others / maxBeatsPerSecond));
+    return std::max(shortestBeatPeriod, paced);
+}
+
+Duration PeerTable::silence() const
+{
+    return std::max(shortestSilence, beatPeriod() * beatsToSilence);
+}
+
 std::vector<const PeerBeat *> PeerTable::reachable(Time now) const
 {
     std::vector<const PeerBeat *> peers;
     for (const auto &[vm, peer] : m_heard) {
-        if (now - peer.heardAt <= silence)
+        if (now - peer.heardAt <= silence())
             peers.push_back(&peer.beat);
     }
     return peers;
--- a/src/decide/PeerTable.h
+++ b/src/decide/PeerTable.h
@@ -36,8 +36,14 @@
 class PeerTable
 {
 public:
-    // A VM that is silent for this long counts as not reachable.
-    static constexpr Duration silence = milliseconds(1500);
+    // Time between two beats in a small fleet.
+    static constexpr Duration shortestBeatPeriod = milliseconds(250);
+    // Beats that a VM sends a second at most: a larger fleet beats more slowly.
+    static constexpr double maxBeatsPerSecond = 60;
+    // A VM of a small fleet that is silent for this long counts as not reachable.
+    static constexpr Duration shortestSilence = milliseconds(1500);
+    // Beats that may be lost in a row in a larger fleet.
+    static constexpr int beatsToSilence = 3;
     // A VM that is neither registered nor heard from for this long is forgotten.
     static constexpr Duration memory = seconds(20);
 
@@ -53,6 +59,10 @@
     void introduced(const std::string &gossipAddress);
     void tick(Time now);
 
+    // Time between two beats to all the others.
+    Duration beatPeriod() const;
+    // How long a VM may be silent.
+    Duration silence() const;
     // VMs heard from lately.
     std::vector<const PeerBeat *> reachable(Time now) const;
     // Addresses to send beats to.
--- a/src/decide/QuotaShare.cpp
+++ b/src/decide/QuotaShare.cpp
@@ -34,7 +34,7 @@
     const auto registered = static_cast<double>(std::max<std::size_t>(1, demand.registeredVms));
     const auto heard = static_cast<double>(demand.ofPeers.size() + 1);
     const double reachable = std::min(1.0, heard / registered);
-    const double own = this->demand(now) + baseDemand;
+    const double own = std::min(m_told, m_toldBefore) + baseDemand;
     const double all
             = std::accumulate(demand.ofPeers.begin(), demand.ofPeers.end(), own,
                               [](double sum, double peer) { return sum + peer + baseDemand; });
@@ -48,6 +48,13 @@
     return std::max(m_slowCount / toSeconds(slowMemory), m_fastCount / toSeconds(fastMemory));
 }
 
+double QuotaShare::tell(Time now)
+{
+    m_toldBefore = m_told;
+    m_told = demand(now);
+    return m_told;
+}
+
 bool QuotaShare::admit(Time now)
 {
     advance(now);
--- a/src/decide/QuotaShare.h
+++ b/src/decide/QuotaShare.h
@@ -21,7 +21,8 @@
     // of it and a number of requests.
     QuotaLimit withOvershoot(double part, double requests) const
     {
-        return { rate * (1 + part * evenedOut), burst + requests * evenedOut };
+        return { rate * (1 + part * evenedOut),
+                 burst * (1 + part * evenedOut) + requests * evenedOut };
     }
 };
 
@@ -56,6 +57,9 @@
     bool admit(Time now);
     // Demand at this VM, requests per second.
     double demand(Time now);
+    // The demand to tell the other VMs now. This VM's own part grows only with what the others have
+    // been told before, or all would take more at once when demand rises everywhere.
+    double tell(Time now);
     // Part of the fleet's quota that this VM uses, between 0 and 1.
     double part() const { return m_part; }
     // When the next token is there.
@@ -66,6 +70,8 @@
 
     QuotaLimit m_limit;
     double m_part = 0;
+    double m_told = 0;       // in the last beat
+    double m_toldBefore = 0; // in the beat before
     double m_tokens = 0;
     double m_slowCount = 0; // decaying counts of requests
     double m_fastCount = 0;
--- a/src/edge/EdgeProcess.cpp
+++ b/src/edge/EdgeProcess.cpp
@@ -21,6 +21,8 @@
 constexpr Duration crashRepeatTime = seconds(2);
 // Longest uninterrupted access to the store that a beat tells of.
 constexpr Duration storeMemory = seconds(60);
+// Demand in requests per second below which a beat says nothing of an organisation.
+constexpr double leastDemand = 0.05;
 constexpr Duration reloadPeriod = seconds(5);
 // A leaving VM accepts connections until callers have stopped to choose it, and keeps this much of
 // the grace to end.
@@ -173,8 +175,11 @@
     beat.leaving = m_leavingSince.has_value();
     beat.revisions = m_view->revisions();
     beat.demands.clear();
-    for (auto &[organisation, quota] : m_forwarder.quotas())
-        beat.demands[organisation] = quota.demand(now);
+    for (auto &[organisation, quota] : m_forwarder.quotas()) {
+        const double demand = quota.tell(now);
+        if (demand >= leastDemand)
+            beat.demands[organisation] = demand;
+    }
     beat.crashes.clear();
     std::erase_if(m_recentCrashes,
                   [&](const auto &entry) { return now - entry.second > crashRepeatTime; });
--- a/src/edge/GossipTask.cpp
+++ b/src/edge/GossipTask.cpp
@@ -125,9 +125,7 @@
         ::sendto(m_descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL,
                  reinterpret_cast<const sockaddr *>(&to), sizeof(to));
     }
-    const auto paced = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
-            static_cast<double>(addresses.size()) / maxMessagesPerSecond));
-    m_timer.startOnce(std::max(shortestPeriod, paced));
+    m_timer.startOnce(m_peers.beatPeriod());
 }
 
 void GossipTask::receiveAll()
--- a/src/edge/GossipTask.h
+++ b/src/edge/GossipTask.h
@@ -14,11 +14,6 @@
 class GossipTask
 {
 public:
-    // Time between two beats in a small fleet.
-    static constexpr Duration shortestPeriod = milliseconds(250);
-    // Messages that a VM sends a second at most: a larger fleet beats more slowly.
-    static constexpr double maxMessagesPerSecond = 60;
-
     struct Callbacks
     {
         std::function<void(PeerBeat &)> fill; // sets the fields that change
