--- a/tools/soak/Soak.cpp
+++ b/tools/soak/Soak.cpp
@@ -227,7 +227,7 @@
                 = { TargetMode::Slow,      TargetMode::Sheds,       TargetMode::LosesAnswers,
                     TargetMode::AddsBytes, TargetMode::LateAnswers, TargetMode::BreaksOff };
         const auto ids = m_targets->ids();
-        const std::string id = ids.at(pick(ids.size()));
+        const std::string &id = ids.at(pick(ids.size()));
         const std::size_t kind = pick(links.size() + modes.size());
         say("target " + id + " fault " + std::to_string(kind));
         if (kind < links.size()) {
@@ -247,7 +247,7 @@
             putConfig();
         } else if (kind == 1) {
             const auto ids = m_targets->ids();
-            const std::string id = ids.at(pick(ids.size()));
+            const std::string &id = ids.at(pick(ids.size()));
             say("target " + id + " is replaced");
             if (!addTarget())
                 m_faults.emplace_back("a new target has no address");
--- a/tools/soak/SoakStore.cpp
+++ b/tools/soak/SoakStore.cpp
@@ -30,7 +30,7 @@
     SoakStore *raw = store.get();
     auto server = EdgeServer::make(
             loop, at,
-            { [raw](IncomingRequest request) { return raw->take(std::move(request)); },
+            { [raw](const IncomingRequest &request) { return raw->take(request); },
               [raw](const AnswerSink &sink, ErrorKind) { raw->answer(sink, 400, json::object()); },
               [raw](std::uint64_t id) {
                   std::erase_if(raw->m_watches, [&](const Watch &w) { return w.id == id; });
@@ -52,7 +52,7 @@
     sink.finish(false);
 }
 
-std::uint64_t SoakStore::take(IncomingRequest request)
+std::uint64_t SoakStore::take(const IncomingRequest &request)
 {
     const std::uint64_t id = m_nextId++;
     const std::string &target = request.head.request.target;
--- a/tools/soak/SoakStore.h
+++ b/tools/soak/SoakStore.h
@@ -49,7 +49,7 @@
     explicit SoakStore(EventLoop &loop)
         : m_loop(loop)
     {}
-    std::uint64_t take(IncomingRequest request);
+    std::uint64_t take(const IncomingRequest &request);
     void takeCall(const IncomingRequest &request);
     void list(const std::string &kind, const AnswerSink &sink);
     bool answerWatch(const Watch &watch, bool timedOut);
