Registrations of VMs that are gone for good are removed

Change: after two minutes without a sign of it the first by name of the VMs that hear from each other removes its object, by revision; a VM whose object is missing registers again. Test: peer table.

--- a/src/decide/PeerTable.cpp
+++ b/src/decide/PeerTable.cpp
@@ -5,10 +5,29 @@
 
 namespace basildeck {
 
-void PeerTable::setRegistered(std::map<std::string, std::string> gossipAddresses)
+void PeerTable::setRegistered(std::map<std::string, std::string> gossipAddresses, Time now)
 {
     gossipAddresses.erase(m_self);
     m_registered = std::move(gossipAddresses);
+    std::erase_if(m_registeredSince,
+                  [&](const auto &entry) { return !m_registered.contains(entry.first); });
+    for (const auto &[vm, address] : m_registered)
+        m_registeredSince.try_emplace(vm, now);
+}
+
+std::optional<std::string> PeerTable::goneVm(Time now) const
+{
+    for (const PeerBeat *beat : reachable(now)) {
+        if (beat->vm < m_self)
+            return std::nullopt;
+    }
+    for (const auto &[vm, since] : m_registeredSince) {
+        const auto peer = m_heard.find(vm);
+        const Time lastSign = peer == m_heard.end() ? since : std::max(since, peer->second.heardAt);
+        if (now - lastSign > goneAfter)
+            return vm;
+    }
+    return std::nullopt;
 }
 
 bool PeerTable::heard(const PeerBeat &beat, Time now)
--- a/src/decide/PeerTable.h
+++ b/src/decide/PeerTable.h
@@ -44,6 +44,9 @@
     static constexpr Duration shortestSilence = milliseconds(1500);
     // Beats that may be lost in a row in a larger fleet.
     static constexpr int beatsToSilence = 3;
+    // A registered VM that is not heard from for this long is taken for gone. Longer than any cut
+    // that the platform's bounds speak of, since a VM that is only cut off keeps a part of quotas.
+    static constexpr Duration goneAfter = seconds(120);
     // A VM that is neither registered nor heard from for this long is forgotten.
     static constexpr Duration memory = seconds(20);
 
@@ -52,7 +55,10 @@
     {}
 
     // Replaces the list of registered VMs: gossip address by name.
-    void setRegistered(std::map<std::string, std::string> gossipAddresses);
+    void setRegistered(std::map<std::string, std::string> gossipAddresses, Time now);
+    // A registered VM that is gone, if it falls to this VM to remove its registration: of the VMs
+    // that hear from each other, to the first by name.
+    std::optional<std::string> goneVm(Time now) const;
     // Takes in a beat. False if it is older than what is known.
     bool heard(const PeerBeat &beat, Time now);
     // Another VM named an address.
@@ -86,6 +92,7 @@
     std::string m_self;
     std::map<std::string, Peer> m_heard;
     std::map<std::string, std::string> m_registered;
+    std::map<std::string, Time> m_registeredSince;
     std::map<std::string, bool> m_introduced; // by address
 };
 
--- a/src/edge/FleetView.cpp
+++ b/src/edge/FleetView.cpp
@@ -116,11 +116,12 @@
             addresses[name] = gossip->get<std::string>();
     }
     const auto own = addresses.find(m_parts.settings.vmName);
+    m_isRegistered = m_isRegistered && own != addresses.end();
     const bool isCurrent
             = own != addresses.end() && own->second == m_parts.settings.gossipAddress().toString();
     if (!isCurrent && !m_leaving)
         registerSelf();
-    m_parts.peers.setRegistered(std::move(addresses));
+    m_parts.peers.setRegistered(std::move(addresses), m_parts.loop.now());
     if (!m_isConfigured)
         useConfig();
 }
@@ -155,6 +156,29 @@
                   });
 }
 
+// Parts of quotas stay reserved for registered VMs, so those that are gone for good are removed.
+// One that comes back registers again.
+void FleetView::removeGoneVm()
+{
+    const auto gone = m_parts.peers.goneVm(m_parts.loop.now());
+    const ObjectReplica &vms = *replica(vmKind);
+    if (!gone || m_writer.isBusy() || !vms.isReachable())
+        return;
+    const auto object = vms.objects().find(*gone);
+    if (object == vms.objects().end())
+        return;
+    BASILDECK_INFO(part) << "removes a VM that is gone vm=" << *gone
+                         << " revision=" << object->second.revision;
+    const std::string path = m_parts.protocol.objectPath(vmKind, *gone)
+                             + "?revision=" + std::to_string(object->second.revision);
+    m_writer.call(m_parts.settings.storeAddress, "DELETE", path, {}, writeTimeout,
+                  [](const Result<CallAnswer> &answer) {
+                      if (!answer)
+                          BASILDECK_WARNING(part)
+                                  << "may not have been removed " << answer.error().detail;
+                  });
+}
+
 void FleetView::leave(std::function<void()> left)
 {
     m_leaving = true;
@@ -221,6 +245,8 @@
 {
     if (!m_isRegistered && !m_leaving && replica(vmKind)->isReachable())
         takeVms();
+    if (!m_leaving)
+        removeGoneVm();
     if (m_copier.isBusy())
         return;
     for (const auto &replica : m_replicas) {
--- a/src/edge/FleetView.h
+++ b/src/edge/FleetView.h
@@ -59,6 +59,7 @@
     void fetchCopies();
     void takeCopy(const std::string &kind, const Result<CallAnswer> &answer);
     void registerSelf();
+    void removeGoneVm();
     std::unique_ptr<ObjectReplica> makeReplica(const std::string &kind,
                                                ObjectReplica::Callbacks callbacks);
     ObjectReplica *replica(const std::string &kind) const;
--- a/tests/PeerTableTest.cpp
+++ b/tests/PeerTableTest.cpp
@@ -33,7 +33,7 @@
     CHECK(table.reachable(now).size() == 1);
     CHECK(table.reachable(now + PeerTable::shortestSilence + milliseconds(1)).empty());
     CHECK(table.registeredCount() == 2);
-    table.setRegistered({ { "self", "self:1" }, { "a", "a:1" }, { "b", "b:1" } });
+    table.setRegistered({ { "self", "self:1" }, { "a", "a:1" }, { "b", "b:1" } }, now);
     table.tick(now + PeerTable::memory * 2);
     CHECK(table.registeredCount() == 3);
     CHECK(table.gossipAddresses() == std::vector<std::string>{ "a:1", "b:1" });
@@ -48,6 +48,26 @@
     CHECK(table.heard(beat("a", 40, 2), now + PeerTable::shortestSilence + milliseconds(1)));
 }
 
+TEST_CASE("the first of the VMs that hear from each other removes one that is gone")
+{
+    Time now = Time() + seconds(100);
+    PeerTable first("a");
+    PeerTable second("b");
+    const std::map<std::string, std::string> vms
+            = { { "a", "a:1" }, { "b", "b:1" }, { "c", "c:1" } };
+    first.setRegistered(vms, now);
+    second.setRegistered(vms, now);
+    now += PeerTable::goneAfter + seconds(1);
+    first.heard(beat("b", 1, 1), now);
+    second.heard(beat("a", 1, 1), now);
+    CHECK(first.goneVm(now) == "c");
+    CHECK_FALSE(second.goneVm(now));
+    first.heard(beat("c", 1, 1), now);
+    CHECK_FALSE(first.goneVm(now + seconds(1)));
+    first.setRegistered({ { "a", "a:1" }, { "b", "b:1" } }, now);
+    CHECK_FALSE(first.goneVm(now));
+}
+
 TEST_CASE("a larger fleet beats more slowly and allows longer silence")
 {
     PeerTable table("self");
@@ -56,7 +76,7 @@
     std::map<std::string, std::string> vms;
     for (int i = 0; i < 120; ++i)
         vms["vm-" + std::to_string(i)] = std::to_string(i) + ":1";
-    table.setRegistered(vms);
+    table.setRegistered(vms, Time());
     CHECK(table.beatPeriod() == seconds(2));
     CHECK(table.silence() == seconds(6));
 }
@@ -66,7 +86,7 @@
     PeerTable table("self");
     table.introduced("c:1");
     CHECK(table.gossipAddresses() == std::vector<std::string>{ "c:1" });
-    table.setRegistered({ { "a", "a:1" } });
+    table.setRegistered({ { "a", "a:1" } }, Time());
     CHECK(table.gossipAddresses() == std::vector<std::string>{ "a:1" });
 }
 
