Socket addresses are made in one place; a test waits for the end it checks

Cause: with busy processes beside, 'requests whose end is in doubt' failed (2 of 9 shapes, then again): it looked for the end of the connection at once after the answer, and the end comes a moment later. The check now reads until the end and takes no further byte, which is stricter. Three copies of one conversion become one; two unused members of the soak go.

--- a/src/edge/GossipTask.cpp
+++ b/src/edge/GossipTask.cpp
@@ -1,13 +1,13 @@
 #include "edge/GossipTask.h"
 
 #include "core/Log.h"
+#include "core/SocketAddress.h"
 
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/map.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
 
-#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -25,15 +25,6 @@
 // Addresses of other VMs that a beat names, so that a VM without the store finds them all.
 constexpr std::size_t introductionsPerBeat = 2;
 
-sockaddr_in toSocketAddress(const Address &address)
-{
-    sockaddr_in result{};
-    result.sin_family = AF_INET;
-    result.sin_port = htons(address.port);
-    inet_pton(AF_INET, address.ip.c_str(), &result.sin_addr);
-    return result;
-}
-
 } // namespace
 
 template <typename Archive>
--- a/src/edge/TcpStream.cpp
+++ b/src/edge/TcpStream.cpp
@@ -1,8 +1,8 @@
 #include "edge/TcpStream.h"
 
 #include "core/Log.h"
+#include "core/SocketAddress.h"
 
-#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -22,15 +22,6 @@
 constexpr int keepAliveIntervalSeconds = 1;
 constexpr int keepAliveProbes = 2;
 
-sockaddr_in toSocketAddress(const Address &address)
-{
-    sockaddr_in result{};
-    result.sin_family = AF_INET;
-    result.sin_port = htons(address.port);
-    inet_pton(AF_INET, address.ip.c_str(), &result.sin_addr);
-    return result;
-}
-
 void setOption(int descriptor, int level, int option, int value)
 {
     setsockopt(descriptor, level, option, &value, sizeof(value));
--- a/src/peer/PeerSockets.cpp
+++ b/src/peer/PeerSockets.cpp
@@ -1,6 +1,7 @@
 #include "peer/PeerSockets.h"
 
-#include <arpa/inet.h>
+#include "core/SocketAddress.h"
+
 #include <netinet/in.h>
 #include <poll.h>
 #include <sys/eventfd.h>
@@ -20,18 +21,9 @@
 constexpr int listenBacklog = 256;
 constexpr int udpBufferBytes = 1024 * 1024;
 
-sockaddr_in socketAddress(const Address &address)
-{
-    sockaddr_in result{};
-    result.sin_family = AF_INET;
-    result.sin_port = htons(address.port);
-    inet_pton(AF_INET, address.ip.c_str(), &result.sin_addr);
-    return result;
-}
-
 bool bindTo(int descriptor, const Address &address)
 {
-    const sockaddr_in where = socketAddress(address);
+    const sockaddr_in where = toSocketAddress(address);
     return ::bind(descriptor, reinterpret_cast<const sockaddr *>(&where), sizeof where) == 0;
 }
 
@@ -86,7 +78,7 @@
 
 void PeerSockets::sendDatagram(const Address &to, std::string_view bytes)
 {
-    const sockaddr_in where = socketAddress(to);
+    const sockaddr_in where = toSocketAddress(to);
     const ssize_t sent = ::sendto(m_udp, bytes.data(), bytes.size(), 0,
                                   reinterpret_cast<const sockaddr *>(&where), sizeof where);
     if (sent > 0)
@@ -97,7 +89,7 @@
 {
     const ExchangeId id = m_nextExchange++;
     const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    const sockaddr_in where = socketAddress(to);
+    const sockaddr_in where = toSocketAddress(to);
     static_cast<void>(
             ::connect(descriptor, reinterpret_cast<const sockaddr *>(&where), sizeof where));
     Connection connection;
--- a/tests/EdgeForwardingTest.cpp
+++ b/tests/EdgeForwardingTest.cpp
@@ -271,7 +271,7 @@
         CAPTURE(field);
         auto caller = world.call(EdgeWorld::request("POST", "/unsafe/", "r1", field) + "0\r\n\r\n");
         CHECK(whole(*caller).head.status() == 400);
-        CHECK(caller->peerClosed());
+        CHECK_FALSE(caller->receive());
     }
     auto caller = world.call(
             EdgeWorld::request("POST", "/unsafe/", "r1", "Transfer-Encoding: chunked\r\n")
--- a/tools/soak/SoakCallers.cpp
+++ b/tools/soak/SoakCallers.cpp
@@ -70,7 +70,7 @@
                        + "\r\nDeadline-Ms: 1500\r\n";
     if (isUnsafe)
         text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
-    m_calls[id] = { isUnsafe, key->second, vm, m_loop.now(), 0, false };
+    m_calls[id] = { isUnsafe, key->second, vm, m_loop.now(), 0 };
     auto call = std::make_unique<Call>();
     Call &raw = *call;
     raw.id = id;
--- a/tools/soak/SoakCallers.h
+++ b/tools/soak/SoakCallers.h
@@ -19,8 +19,7 @@
     std::string organisation;
     std::size_t vm = 0;
     Time sent;
-    int status = 0;            // of the whole answer, 0 without one
-    bool usesOldRoute = false; // a route that was removed by a later configuration
+    int status = 0; // of the whole answer, 0 without one
 };
 
 // Callers with kept connections, which check each answer.
--- a/tools/soak/SoakStore.cpp
+++ b/tools/soak/SoakStore.cpp
@@ -177,10 +177,4 @@
     m_changes.clear();
 }
 
-std::size_t SoakStore::count(const std::string &kind) const
-{
-    const auto found = m_objects.find(kind);
-    return found == m_objects.end() ? 0 : found->second.size();
-}
-
 } // namespace basildeck::soak
--- a/tools/soak/SoakStore.h
+++ b/tools/soak/SoakStore.h
@@ -28,7 +28,6 @@
 
     void put(const std::string &kind, const std::string &name, const nlohmann::json &content);
     void remove(const std::string &kind, const std::string &name);
-    std::size_t count(const std::string &kind) const;
 
 private:
     struct Change
