Two uses of freed memory, found with sanitizers

Causes: a caller's connection that had ended gave its body bytes back to its server's context when it was destroyed, which at the end of a process came after the server; libwebsockets keeps the pointer to a vhost's name, which was a temporary. Changes: the bytes go back when the connection ends; the name is a member of the server. Before: address sanitizer aborts in the first edge test, and then in the first fleet test. After: the 72 cases of the new suites are clean with address and undefined sanitizers (without the leak check); the older suites were not run to their end with them.

--- a/src/edge/CallerConnection.cpp
+++ b/src/edge/CallerConnection.cpp
@@ -25,10 +25,8 @@
                              } });
 }
 
-CallerConnection::~CallerConnection()
-{
-    m_context.bodyBytes -= m_readingBody;
-}
+// A connection that has ended may outlive its server, and with it the context.
+CallerConnection::~CallerConnection() = default;
 
 void CallerConnection::stopTaking()
 {
@@ -239,6 +237,7 @@
     if (std::exchange(m_hasEnded, true))
         return;
     m_takesInput = false;
+    m_context.bodyBytes -= std::exchange(m_readingBody, 0);
     m_stream->close();
     const auto pending = std::exchange(m_pending, {});
     for (const Pending &left : pending) {
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -48,8 +48,8 @@
     info.protocols = server->m_protocols.get();
     info.keepalive_timeout = idleTimeoutSeconds;
     info.timeout_secs = idleTimeoutSeconds;
-    const std::string name = "server-" + address.toString();
-    info.vhost_name = name.c_str();
+    server->m_name = "server-" + address.toString();
+    info.vhost_name = server->m_name.c_str();
     if (lws_create_vhost(loop.context(), &info) == nullptr)
         return nullptr;
     return server;
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -44,6 +44,8 @@
     struct Pending;
 
     explicit HttpServer(Handler handler);
+    // The library keeps a pointer to it.
+    std::string m_name;
     static int callback(lws *connection, int reason, void *user, void *in, std::size_t length);
     int onHead(lws *connection, void *user, std::string_view path);
     int onBody(Pending &pending, std::string_view bytes);
