Parts of quotas keep a least sum while demand rises

A VM's own part grows two beats after its demand while the parts of the others shrink at once: from a base of 0.5 requests a second to several, the parts of all fell to 0.06 in sum for two beats (0.5 to 1 s).

Change: the base is half of an equal part of the rate, and the demand that is told with it at most doubles from beat to beat, so the sum stays above a quarter.

--- a/src/decide/QuotaShare.cpp
+++ b/src/decide/QuotaShare.cpp
@@ -31,15 +31,15 @@
 void QuotaShare::setDemand(const QuotaDemand &demand, Time now)
 {
     advance(now);
-    const auto registered = static_cast<double>(std::max<std::size_t>(1, demand.registeredVms));
+    m_registeredVms = static_cast<double>(std::max<std::size_t>(1, demand.registeredVms));
     const auto heard = static_cast<double>(demand.ofPeers.size() + 1);
-    const double reachable = std::min(1.0, heard / registered);
-    const double own = std::min(m_told, m_toldBefore) + baseDemand;
-    const double all
-            = std::accumulate(demand.ofPeers.begin(), demand.ofPeers.end(), own,
-                              [](double sum, double peer) { return sum + peer + baseDemand; });
-    m_part = reachable * own / all;
-    m_burstPart = (m_part + 1 / registered) / 2;
+    const double reachable = std::min(1.0, heard / m_registeredVms);
+    const double base = baseDemand();
+    const double own = std::min(m_told, m_toldBefore) + base;
+    const double all = std::accumulate(demand.ofPeers.begin(), demand.ofPeers.end(), own,
+                                       [&](double sum, double peer) { return sum + peer + base; });
+    m_part = all > 0 ? reachable * own / all : 1 / m_registeredVms;
+    m_burstPart = (m_part + 1 / m_registeredVms) / 2;
     m_tokens = std::min(m_tokens, capacity());
 }
 
@@ -52,7 +52,8 @@
 double QuotaShare::tell(Time now)
 {
     m_toldBefore = m_told;
-    m_told = demand(now);
+    const double base = baseDemand();
+    m_told = std::min(demand(now), mostGrowth * (m_told + base) - base);
     return m_told;
 }
 
--- a/src/decide/QuotaShare.h
+++ b/src/decide/QuotaShare.h
@@ -47,9 +47,14 @@
     // steady in calm, the fast one follows callers that move.
     static constexpr Duration slowMemory = milliseconds(2500);
     static constexpr Duration fastMemory = milliseconds(500);
-    // Demand in requests per second that each VM is taken to have besides the demand it reports, so
-    // that a first request finds a token.
-    static constexpr double baseDemand = 0.5;
+    // Each VM is taken to have this part of an equal part of the rate as demand, besides the demand
+    // it reports, so that a first request finds a token.
+    static constexpr double basePart = 0.5;
+    // The demand that a VM reports, with that base, grows at most by this factor from beat to beat.
+    // A VM's own part grows two beats after its demand and the parts of the others shrink at once,
+    // so while demand rises everywhere, as after a start of the whole fleet, the parts of all add
+    // up to less than one, by this factor a beat.
+    static constexpr double mostGrowth = 2;
     // A VM with less than this part of the tokens that it may hold asks the others for tokens, and
     // one lends only what it has beyond this part.
     static constexpr double keptPart = 0.5;
@@ -72,22 +77,25 @@
     void borrow(double tokens, Time now);
     // Demand at this VM, requests per second.
     double demand(Time now);
-    // The demand to tell the other VMs now. This VM's own part grows only with what the others have
-    // been told before, or all would take more at once when demand rises everywhere.
+    // The demand to tell the other VMs now, requests per second. This VM's own part grows only with
+    // what the others have been told before, or all would take more at once when demand rises
+    // everywhere.
     double tell(Time now);
-    // Part of the fleet's quota that this VM uses, between 0 and 1.
+    // Part of the fleet's rate that this VM uses, between 0 and 1.
     double part() const { return m_part; }
     // When the next token is there.
     Duration nextToken() const;
 
 private:
     void advance(Time now);
+    double baseDemand() const { return basePart * m_limit.rate / m_registeredVms; }
     // Tokens that this VM may hold.
     double capacity() const { return m_limit.burst * m_burstPart + 1; }
 
     QuotaLimit m_limit;
-    double m_part = 0;       // of the rate
-    double m_burstPart = 0;  // of the burst
+    double m_part = 0;      // of the rate
+    double m_burstPart = 0; // of the burst
+    double m_registeredVms = 1;
     double m_told = 0;       // in the last beat
     double m_toldBefore = 0; // in the beat before
     double m_tokens = 0;
--- a/tests/QuotaLedgerTest.cpp
+++ b/tests/QuotaLedgerTest.cpp
@@ -96,6 +96,21 @@
         return static_cast<double>(most);
     }
 
+    void restartAll()
+    {
+        for (std::size_t i = 0; i < vmCount; ++i)
+            m_vms[i] = makeVm(i);
+        m_underway.clear();
+    }
+
+    double sumOfParts()
+    {
+        double sum = 0;
+        for (Vm &vm : m_vms)
+            sum += vm.ledger.find(organisation)->part();
+        return sum;
+    }
+
     void startCounting() { m_asked = m_admitted = 0; }
     double admittedShare() const { return m_admitted / m_asked; }
 
@@ -252,6 +267,43 @@
     }
 }
 
+// nam-gauge-grown, hunt-56e8-11: in the seconds after the whole fleet had lost power nearly all
+// requests were refused as beyond their organisation's rate.
+TEST_CASE("a fleet that starts under load admits what equal parts would")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        Fleet fleet(seed);
+        Fleet twin(seed, true);
+        for (Fleet *each : { &fleet, &twin }) {
+            each->setLongestTrip(calmTrip);
+            each->play(seconds(10), 0.8 * limit.rate, false, false);
+            each->restartAll();
+            each->startCounting();
+            CHECK(each->play(seconds(2), 0.8 * limit.rate, false, false) <= mostInWindow);
+        }
+        // A tenth is left for parts that follow demand late.
+        CHECK(fleet.admittedShare() >= 0.9 * twin.admittedShare());
+    }
+}
+
+TEST_CASE("the parts of all VMs never add up to less than a quarter, however demand rises")
+{
+    for (const double demand : { 0.8, 6.0, 30.0 }) {
+        CAPTURE(demand);
+        Fleet fleet(1);
+        fleet.setLongestTrip(calmTrip);
+        fleet.play(seconds(10), 0.8 * limit.rate, false, false);
+        fleet.restartAll();
+        // Two beats at most lie between the demands that two VMs go by.
+        const double least = 1 / (QuotaShare::mostGrowth * QuotaShare::mostGrowth);
+        for (int i = 0; i < 100; ++i) {
+            fleet.play(milliseconds(50), demand * limit.rate, false, false);
+            CHECK(fleet.sumOfParts() >= least);
+        }
+    }
+}
+
 TEST_CASE("callers that move between VMs are refused less than with equal parts")
 {
     for (std::uint64_t seed = 1; seed <= 5; ++seed) {
