VMs ask a few others nearby for tokens, in datagrams of their own

Cause: a VM that ran low sent a beat with all it tells to all VMs.

Change: QuotaAsk and QuotaLoan are datagrams of their own, to six VMs at most, those of the own region first. An ask has a number; a loan counts once, from a VM that was asked, within a second. An organisation whose asks bring nothing is asked for at 0.1 s, then after twice the time up to 2 s. Beats carry no wants any more.

--- a/src/decide/PeerTable.cpp
+++ b/src/decide/PeerTable.cpp
@@ -83,6 +83,24 @@
     return peers;
 }
 
+std::map<std::string, std::string> PeerTable::nearest(const std::string &region, std::size_t most,
+                                                      Time now)
+{
+    std::vector<const PeerBeat *> peers = reachable(now);
+    if (!peers.empty())
+        std::rotate(peers.begin(),
+                    peers.begin() + static_cast<std::ptrdiff_t>(m_rotation++ % peers.size()),
+                    peers.end());
+    std::stable_partition(peers.begin(), peers.end(),
+                          [&](const PeerBeat *peer) { return peer->region == region; });
+    std::map<std::string, std::string> chosen;
+    for (const PeerBeat *peer : peers) {
+        if (chosen.size() < most)
+            chosen[peer->vm] = peer->gossipAddress;
+    }
+    return chosen;
+}
+
 std::vector<std::string> PeerTable::gossipAddresses() const
 {
     std::set<std::string> addresses;
--- a/src/decide/PeerTable.h
+++ b/src/decide/PeerTable.h
@@ -28,12 +28,27 @@
     bool leaving = false;
     std::map<std::string, std::uint64_t> revisions; // store revision of each kind of objects it has
     std::map<std::string, double> demands;          // requests per second, by organisation
-    std::map<std::string, double> wants;            // tokens, by organisation
-    std::map<std::string, double> loans;            // tokens for the receiver, by organisation
     std::vector<CrashReport> crashes;               // seen lately
     std::vector<std::string> introduces; // gossip addresses of other VMs, a few at a time
 };
 
+// A VM asks another one for tokens of quotas.
+struct QuotaAsk
+{
+    std::string borrower;                 // name of the VM
+    std::string gossipAddress;            // of the borrower
+    std::uint64_t number = 0;             // of the borrower's asks
+    std::map<std::string, double> tokens; // by organisation
+};
+
+// The answer to an ask.
+struct QuotaLoan
+{
+    std::string lender;                   // name of the VM
+    std::uint64_t number = 0;             // of the ask
+    std::map<std::string, double> tokens; // by organisation
+};
+
 // The other VMs: those that are registered, and those that are heard from.
 class PeerTable
 {
@@ -73,6 +88,10 @@
     Duration silence() const;
     // VMs heard from lately.
     std::vector<const PeerBeat *> reachable(Time now) const;
+    // Gossip addresses by name of some VMs that are heard from, those of a region first. Which of
+    // the others are taken changes from call to call.
+    std::map<std::string, std::string> nearest(const std::string &region, std::size_t most,
+                                               Time now);
     // Addresses to send beats to.
     std::vector<std::string> gossipAddresses() const;
     // VMs that may be serving, this one included, whether or not they are heard from.
@@ -96,6 +115,7 @@
     std::map<std::string, std::string> m_registered;
     std::map<std::string, Time> m_registeredSince;
     std::map<std::string, bool> m_introduced; // by address
+    std::size_t m_rotation = 0;
 };
 
 // What the directory needs to know of a VM.
--- a/src/decide/QuotaLedger.cpp
+++ b/src/decide/QuotaLedger.cpp
@@ -1,5 +1,7 @@
 #include "decide/QuotaLedger.h"
 
+#include <algorithm>
+
 namespace basildeck {
 
 void QuotaLedger::setLimits(const std::map<std::string, QuotaLimit> &limits, Time now)
@@ -14,12 +16,9 @@
 {
     for (auto &[organisation, entry] : m_entries) {
         QuotaDemand demand{ registeredVms, {} };
-        entry.lenders = 1;
         for (const PeerBeat *peer : reachable) {
             const auto found = peer->demands.find(organisation);
             demand.ofPeers.push_back(found == peer->demands.end() ? 0 : found->second);
-            if (!peer->wants.contains(organisation))
-                ++entry.lenders;
         }
         entry.share.setDemand(demand, now);
     }
@@ -32,8 +31,8 @@
         return true;
     Entry &entry = found->second;
     const bool isAdmitted = entry.share.admit(now);
-    if (!entry.hasAsked && entry.share.wanted(now) > 0)
-        m_asksNow = true;
+    if (now >= entry.askAgainAt && entry.share.wanted(now) > 0)
+        m_isLow = true;
     return isAdmitted;
 }
 
@@ -53,38 +52,55 @@
     }
 }
 
-void QuotaLedger::fillWants(PeerBeat &beat, Time now)
+std::optional<QuotaAsk> QuotaLedger::ask(const std::set<std::string> &lenders, Time now)
 {
-    beat.wants.clear();
+    m_isLow = false;
+    m_askedAt = now;
+    std::erase_if(m_asked, [&](const auto &asked) { return now - asked.second.first > loanLife; });
+    if (lenders.empty())
+        return std::nullopt;
+    QuotaAsk ask{ m_self, {}, m_askNumber + 1, {} };
     for (auto &[organisation, entry] : m_entries) {
-        const double tokens = entry.share.wanted(now);
-        entry.hasAsked = tokens > 0;
-        if (entry.hasAsked)
-            beat.wants[organisation] = tokens;
+        const double wanted = entry.share.wanted(now);
+        if (wanted <= 0 || now < entry.askAgainAt)
+            continue;
+        ask.tokens[organisation] = wanted / static_cast<double>(lenders.size());
+        entry.askAgainAt = now + entry.askPause;
+        entry.askPause = std::min(longestAskPeriod, entry.askPause * 2);
     }
-    m_asksNow = false;
+    if (ask.tokens.empty())
+        return std::nullopt;
+    m_asked[++m_askNumber] = { now, lenders };
+    return ask;
 }
 
-std::map<std::string, double> QuotaLedger::take(const PeerBeat &beat, Time now)
+QuotaLoan QuotaLedger::lend(const QuotaAsk &ask, Time now)
 {
-    for (const auto &[organisation, tokens] : beat.loans) {
-        if (QuotaShare *share = find(organisation)) {
-            share->borrow(tokens, now);
-            m_borrowed += tokens;
-        }
+    QuotaLoan loan{ m_self, ask.number, {} };
+    for (const auto &[organisation, tokens] : ask.tokens) {
+        QuotaShare *share = find(organisation);
+        const double lent = share == nullptr ? 0 : share->lend(tokens, now);
+        if (lent > 0)
+            loan.tokens[organisation] = lent;
+        m_lent += lent;
     }
-    std::map<std::string, double> loans;
-    for (const auto &[organisation, tokens] : beat.wants) {
+    return loan;
+}
+
+void QuotaLedger::borrow(const QuotaLoan &loan, Time now)
+{
+    const auto asked = m_asked.find(loan.number);
+    if (asked == m_asked.end() || now - asked->second.first > loanLife
+        || asked->second.second.erase(loan.lender) == 0)
+        return;
+    for (const auto &[organisation, tokens] : loan.tokens) {
         const auto found = m_entries.find(organisation);
         if (found == m_entries.end())
             continue;
-        const double lent = found->second.share.lend(
-                tokens / static_cast<double>(found->second.lenders), now);
-        if (lent > 0)
-            loans[organisation] = lent;
-        m_lent += lent;
+        found->second.share.borrow(tokens, now);
+        found->second.askPause = askPeriod;
+        m_borrowed += tokens;
     }
-    return loans;
 }
 
 } // namespace basildeck
--- a/src/decide/QuotaLedger.h
+++ b/src/decide/QuotaLedger.h
@@ -3,18 +3,35 @@
 #include "decide/PeerTable.h"
 #include "decide/QuotaShare.h"
 
+#include <cstdint>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace basildeck {
 
-// One VM's parts of the quotas of all organisations, and what it tells the other VMs of them.
+// One VM's parts of the quotas of all organisations, what it tells the other VMs of them, and the
+// tokens that they lend each other.
 class QuotaLedger
 {
 public:
     // Demand in requests per second below which a beat says nothing of an organisation.
     static constexpr double leastDemand = 0.05;
+    // VMs that are asked at once. A few are enough: in calm most have tokens to spare.
+    static constexpr std::size_t maxLenders = 6;
+    // Shortest time between two asks of a VM.
+    static constexpr Duration askPeriod = milliseconds(100);
+    // An organisation whose asks bring no tokens is asked for after twice the time, up to this.
+    static constexpr Duration longestAskPeriod = seconds(2);
+    // Loans that come later than this are not taken: the lender may hold as much again by then.
+    static constexpr Duration loanLife = seconds(1);
+
+    explicit QuotaLedger(std::string self)
+        : m_self(std::move(self))
+    {}
 
     // Replaces the limits, by organisation. Organisations that stay keep their tokens.
     void setLimits(const std::map<std::string, QuotaLimit> &limits, Time now);
@@ -26,19 +43,21 @@
     bool admit(const std::string &organisation, Time now);
     // The share of an organisation, null if it has no limit here.
     QuotaShare *find(const std::string &organisation);
-    // Whether tokens of an organisation ran low that the others have not been asked for yet.
-    bool asksNow() const { return m_asksNow; }
-    // Tokens that were lent and borrowed since the start.
-    double lent() const { return m_lent; }
-    double borrowed() const { return m_borrowed; }
 
     // Sets what a regular beat tells of demands.
     void fillDemands(PeerBeat &beat, Time now);
-    // Sets what any beat tells of wants.
-    void fillWants(PeerBeat &beat, Time now);
-    // Takes the loans of another VM's beat, and returns the tokens that are lent to it, by
-    // organisation. To be called once for each beat, or a loan would count twice.
-    std::map<std::string, double> take(const PeerBeat &beat, Time now);
+    // What to ask each of some other VMs for, if tokens ran low that are due to be asked for.
+    std::optional<QuotaAsk> ask(const std::set<std::string> &lenders, Time now);
+    // Tokens for another VM. They are gone here, whether or not it ever hears of them.
+    QuotaLoan lend(const QuotaAsk &ask, Time now);
+    // Takes in a loan, once for each VM that was asked.
+    void borrow(const QuotaLoan &loan, Time now);
+    // Whether ask() may have something to ask for.
+    bool isAskDue(Time now) const { return m_isLow && now - m_askedAt >= askPeriod; }
+
+    // Tokens that were lent and borrowed since the start.
+    double lent() const { return m_lent; }
+    double borrowed() const { return m_borrowed; }
 
 private:
     struct Entry
@@ -47,12 +66,16 @@
             : share(now)
         {}
         QuotaShare share;
-        std::size_t lenders = 1; // VMs that are heard from and want no tokens
-        bool hasAsked = false;   // in the last beat
+        Time askAgainAt;
+        Duration askPause = askPeriod; // doubles while asks bring nothing
     };
 
+    std::string m_self;
     std::map<std::string, Entry> m_entries;
-    bool m_asksNow = false;
+    bool m_isLow = false; // of some organisation, tokens ran low since the last ask
+    Time m_askedAt{};
+    std::uint64_t m_askNumber = 0;
+    std::map<std::uint64_t, std::pair<Time, std::set<std::string>>> m_asked; // VMs yet to answer
     double m_lent = 0;
     double m_borrowed = 0;
 };
--- a/src/edge/EdgeProcess.cpp
+++ b/src/edge/EdgeProcess.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <set>
 #include <utility>
 
 namespace basildeck {
@@ -73,13 +74,16 @@
         self.m_pageServers.push_back(std::move(metrics.value()));
     else
         BASILDECK_WARNING(part) << "no metrics: " << metrics.error().detail;
-    self.m_gossip
-            = GossipTask::make(self.m_loop, self.m_settings, self.m_peers,
-                               { [&self](PeerBeat &beat) {
-                                    self.m_forwarder.quotas().fillDemands(beat, self.m_loop.now());
-                                },
-                                 [&self](PeerBeat &beat) { self.fillBeat(beat); },
-                                 [&self](const PeerBeat &beat) { self.takeBeat(beat); } });
+    QuotaLedger &quotas = self.m_forwarder.quotas();
+    self.m_gossip = GossipTask::make(
+            self.m_loop, self.m_settings, self.m_peers,
+            { [&self, &quotas](PeerBeat &beat) { quotas.fillDemands(beat, self.m_loop.now()); },
+              [&self](PeerBeat &beat) { self.fillBeat(beat); },
+              [&self](const PeerBeat &beat) { self.takeBeat(beat); },
+              [&self, &quotas](const QuotaAsk &ask) { return quotas.lend(ask, self.m_loop.now()); },
+              [&self, &quotas](const QuotaLoan &loan) {
+                  quotas.borrow(loan, self.m_loop.now());
+              } });
     if (!self.m_gossip)
         return failure(ErrorKind::InvalidSetting,
                        "address \"" + settings.gossipAddress().toString() + "\" cannot be used");
@@ -102,12 +106,23 @@
 std::uint64_t EdgeProcess::submit(IncomingRequest request)
 {
     const std::uint64_t id = m_forwarder.submit(std::move(request));
+    if (m_forwarder.quotas().isAskDue(m_loop.now()))
+        askForTokens();
+    return id;
+}
+
+void EdgeProcess::askForTokens()
+{
     const Time now = m_loop.now();
-    if (m_forwarder.quotas().asksNow() && now - m_lastAsked >= m_peers.beatPeriod() / 2) {
-        m_lastAsked = now;
-        m_gossip->beatNow();
+    std::set<std::string> names;
+    std::vector<std::string> addresses;
+    for (const auto &[vm, address] :
+         m_peers.nearest(m_settings.region, QuotaLedger::maxLenders, now)) {
+        names.insert(vm);
+        addresses.push_back(address);
     }
-    return id;
+    if (auto ask = m_forwarder.quotas().ask(names, now))
+        m_gossip->ask(std::move(*ask), addresses);
 }
 
 void EdgeProcess::sendPage(const AnswerSink &sink, int status, const std::string &type,
@@ -190,7 +205,6 @@
             = static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(reached).count());
     beat.leaving = m_leavingSince.has_value();
     beat.revisions = m_view->revisions();
-    m_forwarder.quotas().fillWants(beat, now);
     beat.crashes.clear();
     std::erase_if(m_recentCrashes,
                   [&](const auto &entry) { return now - entry.second > crashRepeatTime; });
@@ -202,9 +216,6 @@
 {
     for (const CrashReport &report : beat.crashes)
         m_forwarder.noteCrash(report);
-    std::map<std::string, double> loans = m_forwarder.quotas().take(beat, m_loop.now());
-    if (!loans.empty())
-        m_gossip->lend(beat.gossipAddress, std::move(loans));
 }
 
 void EdgeProcess::noteCrash(const CrashReport &report)
--- a/src/edge/EdgeProcess.h
+++ b/src/edge/EdgeProcess.h
@@ -61,6 +61,7 @@
     EdgeProcess(const EdgeSettings &settings, const PlatformFormat &format);
     Result<std::unique_ptr<EdgeServer>> makePageServer(const Address &at);
     std::uint64_t submit(IncomingRequest request);
+    void askForTokens();
     std::uint64_t answerPage(const IncomingRequest &request);
     void sendPage(const AnswerSink &sink, int status, const std::string &type,
                   const std::string &body);
@@ -97,7 +98,6 @@
     bool m_abandoned = false;
     bool m_unregistered = false;
     Time m_lastReload{};
-    Time m_lastAsked{}; // for tokens, between two regular beats
     std::uint64_t m_lookups = 0;
 };
 
--- a/src/edge/Forwarder.cpp
+++ b/src/edge/Forwarder.cpp
@@ -71,6 +71,7 @@
     , m_settings(settings)
     , m_names(names)
     , m_targets(targets)
+    , m_quotas(settings.vmName)
 {
     m_targets.setOnClosed([this](TargetState &target) { targetClosed(target); });
 }
--- a/src/edge/GossipTask.cpp
+++ b/src/edge/GossipTask.cpp
@@ -25,6 +25,28 @@
 // Addresses of other VMs that a beat names, so that a VM without the store finds them all.
 constexpr std::size_t introductionsPerBeat = 2;
 
+// First byte of a datagram.
+enum class GossipKind : std::uint8_t {
+    Beat,
+    Ask,
+    Loan,
+};
+
+GossipKind kindOf(const PeerBeat &)
+{
+    return GossipKind::Beat;
+}
+
+GossipKind kindOf(const QuotaAsk &)
+{
+    return GossipKind::Ask;
+}
+
+GossipKind kindOf(const QuotaLoan &)
+{
+    return GossipKind::Loan;
+}
+
 } // namespace
 
 template <typename Archive>
@@ -38,7 +60,19 @@
 {
     archive(beat.vm, beat.incarnation, beat.sequence, beat.region, beat.zone, beat.callerAddress,
             beat.gossipAddress, beat.relayAddress, beat.storeReachedForMs, beat.ready, beat.leaving,
-            beat.revisions, beat.demands, beat.wants, beat.loans, beat.crashes, beat.introduces);
+            beat.revisions, beat.demands, beat.crashes, beat.introduces);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, QuotaAsk &ask)
+{
+    archive(ask.borrower, ask.gossipAddress, ask.number, ask.tokens);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, QuotaLoan &loan)
+{
+    archive(loan.lender, loan.number, loan.tokens);
 }
 
 std::unique_ptr<GossipTask> GossipTask::make(EventLoop &loop, const EdgeSettings &settings,
@@ -90,37 +124,41 @@
 
 void GossipTask::beatNow()
 {
-    m_callbacks.fillNews(m_own);
-    send(m_peers.gossipAddresses());
+    m_callbacks.fill(m_own);
+    sendBeat();
 }
 
-void GossipTask::lend(const std::string &gossipAddress, std::map<std::string, double> loans)
+void GossipTask::ask(QuotaAsk ask, const std::vector<std::string> &gossipAddresses)
 {
-    m_callbacks.fillNews(m_own);
-    m_own.loans = std::move(loans);
-    send({ gossipAddress });
-    m_own.loans.clear();
+    ask.gossipAddress = m_own.gossipAddress;
+    send(ask, gossipAddresses);
 }
 
 void GossipTask::beat()
 {
     m_callbacks.fillDemands(m_own);
-    m_callbacks.fillNews(m_own);
+    m_callbacks.fill(m_own);
     const std::vector<std::string> addresses = m_peers.gossipAddresses();
     m_own.introduces.clear();
     for (std::size_t i = 0; i < std::min(introductionsPerBeat, addresses.size()); ++i)
         m_own.introduces.push_back(addresses[m_nextIntroduction++ % addresses.size()]);
-    send(addresses);
+    sendBeat();
     m_timer.startOnce(m_peers.beatPeriod());
 }
 
-void GossipTask::send(const std::vector<std::string> &addresses)
+void GossipTask::sendBeat()
 {
     ++m_own.sequence;
+    send(m_own, m_peers.gossipAddresses());
+}
+
+template <typename Message>
+void GossipTask::send(const Message &message, const std::vector<std::string> &addresses)
+{
     std::ostringstream out;
     {
         cereal::PortableBinaryOutputArchive archive(out);
-        archive(m_own);
+        archive(kindOf(message), message);
     }
     const std::string bytes = out.str();
     for (const std::string &text : addresses) {
@@ -141,20 +179,46 @@
         const ssize_t count = ::recv(m_descriptor, buffer.data(), buffer.size(), 0);
         if (count < 0)
             return;
-        PeerBeat beat;
         try {
-            std::istringstream in(std::string(buffer.data(), static_cast<std::size_t>(count)));
-            cereal::PortableBinaryInputArchive archive(in);
-            archive(beat);
-        } catch (const std::exception &error) {
-            BASILDECK_WARNING(part) << "unreadable beat bytes=" << count << " " << error.what();
-            continue;
+            receive(std::string(buffer.data(), static_cast<std::size_t>(count)));
+        } catch (const cereal::Exception &error) {
+            BASILDECK_WARNING(part) << "unreadable datagram bytes=" << count << " " << error.what();
         }
+    }
+}
+
+void GossipTask::receive(const std::string &bytes)
+{
+    std::istringstream in(bytes);
+    cereal::PortableBinaryInputArchive archive(in);
+    GossipKind kind{};
+    archive(kind);
+    switch (kind) {
+    case GossipKind::Beat: {
+        PeerBeat beat;
+        archive(beat);
         for (const std::string &address : beat.introduces)
             m_peers.introduced(address);
         if (m_peers.heard(beat, m_loop.now()))
             m_callbacks.heard(beat);
+        return;
+    }
+    case GossipKind::Ask: {
+        QuotaAsk ask;
+        archive(ask);
+        const QuotaLoan loan = m_callbacks.lend(ask);
+        if (!loan.tokens.empty())
+            send(loan, { ask.gossipAddress });
+        return;
+    }
+    case GossipKind::Loan: {
+        QuotaLoan loan;
+        archive(loan);
+        m_callbacks.borrow(loan);
+        return;
+    }
     }
+    throw cereal::Exception("kind " + std::to_string(static_cast<int>(kind)));
 }
 
 } // namespace basildeck
--- a/src/edge/GossipTask.h
+++ b/src/edge/GossipTask.h
@@ -5,7 +5,6 @@
 #include "edge/EdgeSettings.h"
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -19,8 +18,10 @@
     struct Callbacks
     {
         std::function<void(PeerBeat &)> fillDemands; // at each regular beat
-        std::function<void(PeerBeat &)> fillNews;    // all other fields that change
+        std::function<void(PeerBeat &)> fill;        // all other fields that change
         std::function<void(const PeerBeat &)> heard;
+        std::function<QuotaLoan(const QuotaAsk &)> lend;
+        std::function<void(const QuotaLoan &)> borrow;
     };
 
     // Null if the address is taken.
@@ -30,15 +31,18 @@
 
     // Sends a beat between two regular ones. It repeats the demands of the last one.
     void beatNow();
-    // Sends a beat with tokens, by organisation, to one VM.
-    void lend(const std::string &gossipAddress, std::map<std::string, double> loans);
+    // Asks some VMs for tokens.
+    void ask(QuotaAsk ask, const std::vector<std::string> &gossipAddresses);
 
 private:
     GossipTask(EventLoop &loop, const EdgeSettings &settings, PeerTable &peers, Callbacks callbacks,
                int descriptor);
     void receiveAll();
     void beat();
-    void send(const std::vector<std::string> &addresses);
+    void sendBeat();
+    template <typename Message>
+    void send(const Message &message, const std::vector<std::string> &addresses);
+    void receive(const std::string &bytes);
 
     EventLoop &m_loop;
     PeerTable &m_peers;
--- a/tests/QuotaLedgerTest.cpp
+++ b/tests/QuotaLedgerTest.cpp
@@ -5,8 +5,10 @@
 #include <algorithm>
 #include <deque>
 #include <random>
+#include <set>
 #include <string>
 #include <utility>
+#include <variant>
 
 namespace basildeck {
 
@@ -31,13 +33,14 @@
 {
     Time arrival;
     std::size_t to;
-    PeerBeat beat;
+    std::variant<PeerBeat, QuotaAsk, QuotaLoan> content;
 };
 
 struct Vm
 {
     Vm(const std::string &name, std::uint64_t incarnation, Time now)
-        : peers(name)
+        : ledger(name)
+        , peers(name)
     {
         beat.vm = beat.gossipAddress = name;
         beat.incarnation = incarnation;
@@ -49,7 +52,6 @@
     PeerTable peers;
     PeerBeat beat;
     Time nextBeat;
-    Time lastAsked;
 };
 
 // VMs that tell each other their demand, some of them cut off, paused or restarted at random.
@@ -135,10 +137,19 @@
             ++m_admitted;
             m_lately.push_back(m_now);
         }
-        if (vm.ledger.asksNow() && m_now - vm.lastAsked >= beatPeriod / 2) {
-            vm.lastAsked = m_now;
-            sendToAll(index);
-        }
+        if (vm.ledger.isAskDue(m_now))
+            askForTokens(index);
+    }
+
+    void askForTokens(std::size_t index)
+    {
+        Vm &vm = m_vms[index];
+        std::set<std::string> lenders;
+        for (const auto &[name, address] : vm.peers.nearest("", QuotaLedger::maxLenders, m_now))
+            lenders.insert(name);
+        const auto ask = vm.ledger.ask(lenders, m_now);
+        for (const std::string &lender : ask ? lenders : std::set<std::string>())
+            send(index, lender, *ask);
     }
 
     void disturb()
@@ -157,23 +168,14 @@
         }
     }
 
-    void send(std::size_t from, std::size_t to)
+    template <typename Content>
+    void send(std::size_t from, const std::string &toName, Content content)
     {
+        const auto to = static_cast<std::size_t>(toName.back() - '0');
         if (m_staticParts || m_cut[from] || m_cut[to])
             return;
         const auto steps = static_cast<std::size_t>(m_longestTrip / step);
-        m_underway.push_back({ m_now + step * (1 + pick(steps)), to, m_vms[from].beat });
-    }
-
-    void sendToAll(std::size_t from)
-    {
-        Vm &vm = m_vms[from];
-        vm.ledger.fillWants(vm.beat, m_now);
-        ++vm.beat.sequence;
-        for (std::size_t to = 0; to < vmCount; ++to) {
-            if (to != from)
-                send(from, to);
-        }
+        m_underway.push_back({ m_now + step * (1 + pick(steps)), to, std::move(content) });
     }
 
     // A paused VM takes in what has come when it goes on.
@@ -194,21 +196,23 @@
             vm.nextBeat = m_now + beatPeriod;
             vm.ledger.setPeers(vmCount, vm.peers.reachable(m_now), m_now);
             vm.ledger.fillDemands(vm.beat, m_now);
-            sendToAll(i);
+            ++vm.beat.sequence;
+            for (const Vm &other : m_vms) {
+                if (&other != &vm)
+                    send(i, other.beat.vm, vm.beat);
+            }
         }
     }
 
     void receive(const Datagram &datagram)
     {
         Vm &vm = m_vms[datagram.to];
-        if (!vm.peers.heard(datagram.beat, m_now))
-            return;
-        vm.beat.loans = vm.ledger.take(datagram.beat, m_now);
-        if (vm.beat.loans.empty())
-            return;
-        ++vm.beat.sequence;
-        send(datagram.to, static_cast<std::size_t>(datagram.beat.vm.back() - '0'));
-        vm.beat.loans.clear();
+        if (const auto *beat = std::get_if<PeerBeat>(&datagram.content))
+            vm.peers.heard(*beat, m_now);
+        else if (const auto *ask = std::get_if<QuotaAsk>(&datagram.content))
+            send(datagram.to, ask->borrower, vm.ledger.lend(*ask, m_now));
+        else
+            vm.ledger.borrow(std::get<QuotaLoan>(datagram.content), m_now);
     }
 
     std::mt19937_64 m_random;
@@ -316,13 +320,13 @@
     }
 }
 
-TEST_CASE("a loan is gone at the lender at once, and an ask is repeated in regular beats only")
+TEST_CASE("a loan is gone at the lender at once and counts once at the borrower")
 {
     const Time now = Time() + seconds(1);
     PeerBeat ofPeer;
-    ofPeer.vm = "vm-2";
-    const auto makeLedger = [&] {
-        QuotaLedger ledger;
+    ofPeer.vm = "peer";
+    const auto makeLedger = [&](const std::string &name) {
+        QuotaLedger ledger(name);
         ledger.setLimits({ { organisation, { 10, 20 } } }, now);
         ledger.setPeers(2, { &ofPeer }, now);
         return ledger;
@@ -333,26 +337,49 @@
             ++count;
         return count;
     };
-    QuotaLedger lender = makeLedger();
-    QuotaLedger borrower = makeLedger();
+    QuotaLedger lender = makeLedger("vm-1");
+    QuotaLedger borrower = makeLedger("vm-2");
     const Time later = now + seconds(10); // the lender's tokens are full: 11
 
     CHECK(admitted(borrower, now) == 0);
-    CHECK(borrower.asksNow());
-    PeerBeat ask;
-    borrower.fillWants(ask, now);
-    CHECK(ask.wants[organisation] == doctest::Approx(8.25));
+    REQUIRE(borrower.isAskDue(now));
+    const auto ask = borrower.ask({ "vm-1", "vm-3" }, now);
+    REQUIRE(ask);
+    CHECK(ask->tokens.at(organisation) == doctest::Approx(8.25 / 2));
+    const QuotaLoan loan = lender.lend(*ask, later);
+    CHECK(loan.tokens.at(organisation) == doctest::Approx(4.125));
+    CHECK(lender.lend(*ask, later).tokens.at(organisation) == doctest::Approx(1.375));
+    CHECK(lender.lend(*ask, later).tokens.empty());
+
+    QuotaLoan unasked = loan;
+    unasked.lender = "vm-4";
+    borrower.borrow(unasked, now);
     CHECK(admitted(borrower, now) == 0);
-    CHECK_FALSE(borrower.asksNow());
-
-    PeerBeat loan;
-    loan.loans = lender.take(ask, later);
-    CHECK(loan.loans[organisation] == doctest::Approx(4.125));
-    CHECK(lender.take(ask, later)[organisation] == doctest::Approx(1.375));
-    CHECK(lender.take(ask, later).empty());
-    borrower.take(loan, now);
+    borrower.borrow(loan, now);
+    borrower.borrow(loan, now);
     CHECK(admitted(borrower, now) == 4);
     CHECK(admitted(lender, later) == 5);
+    QuotaLoan late = loan;
+    late.lender = "vm-3";
+    borrower.borrow(late, now + QuotaLedger::loanLife + milliseconds(1));
+    CHECK(borrower.borrowed() == doctest::Approx(4.125));
+}
+
+TEST_CASE("asks that bring no tokens become rare")
+{
+    const Time start = Time() + seconds(1);
+    QuotaLedger ledger("vm-1");
+    ledger.setLimits({ { organisation, { 10, 20 } } }, start);
+    ledger.setPeers(2, {}, start);
+    int asks = 0;
+    for (Time now = start; now < start + seconds(20); now += milliseconds(10)) {
+        ledger.admit(organisation, now);
+        if (ledger.isAskDue(now) && ledger.ask({ "vm-2" }, now))
+            ++asks;
+    }
+    // After 0.1, 0.2, 0.4, 0.8 and 1.6 s, then each 2 s.
+    CHECK(asks <= 6 + 10);
+    CHECK(asks >= 5);
 }
 
 TEST_SUITE_END();
