Requests wait for tokens that are about to come; starts and large fleets get tokens

Change: QuotaLedger answers Admitted, Waits or Refused. A request waits up to 150 ms, two of an organisation at a VM, if the last asks brought tokens or the rate does; VMs of an organisation over its rate get no loans, so its requests are refused at once as before. VMs start with an equal part of half of the slack of a window, and may hold two tokens beside their part of the burst instead of one where the excess of a window bears it. A VM lends all it has below one token, which serves no request there.

--- a/src/decide/QuotaLedger.cpp
+++ b/src/decide/QuotaLedger.cpp
@@ -6,7 +6,10 @@
 
 void QuotaLedger::setLimits(const std::map<std::string, QuotaLimit> &limits, Time now)
 {
-    std::erase_if(m_entries, [&](const auto &entry) { return !limits.contains(entry.first); });
+    // One that requests wait for is dropped with a later configuration.
+    std::erase_if(m_entries, [&](const auto &entry) {
+        return !limits.contains(entry.first) && entry.second.waiting == 0;
+    });
     for (const auto &[organisation, limit] : limits)
         m_entries.try_emplace(organisation, now).first->second.share.setLimit(limit, now);
 }
@@ -24,16 +27,58 @@
     }
 }
 
-bool QuotaLedger::admit(const std::string &organisation, Time now)
+QuotaAnswer QuotaLedger::admit(const std::string &organisation, std::uint64_t request, Time now)
 {
     const auto found = m_entries.find(organisation);
     if (found == m_entries.end())
-        return true;
+        return QuotaAnswer::Admitted;
     Entry &entry = found->second;
-    const bool isAdmitted = entry.share.admit(now);
+    entry.share.count(now);
+    const bool hasToken = entry.waiting == 0 && entry.share.take(now);
     if (now >= entry.askAgainAt && entry.share.wanted(now) > 0)
         m_isLow = true;
-    return isAdmitted;
+    if (hasToken)
+        return QuotaAnswer::Admitted;
+    if (entry.waiting >= mostWaiting || !isTokenExpected(entry))
+        return QuotaAnswer::Refused;
+    ++entry.waiting;
+    m_waiting.push_back({ request, organisation, now + longestWait });
+    return QuotaAnswer::Waits;
+}
+
+// Asks that brought tokens lately are likely to bring more.
+bool QuotaLedger::isTokenExpected(const Entry &entry) const
+{
+    return entry.askPause <= 2 * askPeriod || entry.share.nextToken() <= longestWait;
+}
+
+std::vector<std::pair<std::uint64_t, QuotaAnswer>> QuotaLedger::settle(Time now)
+{
+    std::vector<std::pair<std::uint64_t, QuotaAnswer>> settled;
+    std::erase_if(m_waiting, [&](const Waiting &waiting) {
+        const auto found = m_entries.find(waiting.organisation);
+        const bool isAdmitted = found == m_entries.end() || found->second.share.take(now);
+        if (!isAdmitted && now < waiting.until)
+            return false;
+        if (found != m_entries.end())
+            --found->second.waiting;
+        settled.emplace_back(waiting.request,
+                             isAdmitted ? QuotaAnswer::Admitted : QuotaAnswer::Refused);
+        return true;
+    });
+    return settled;
+}
+
+void QuotaLedger::forget(std::uint64_t request)
+{
+    std::erase_if(m_waiting, [&](const Waiting &waiting) {
+        if (waiting.request != request)
+            return false;
+        const auto found = m_entries.find(waiting.organisation);
+        if (found != m_entries.end())
+            --found->second.waiting;
+        return true;
+    });
 }
 
 QuotaShare *QuotaLedger::find(const std::string &organisation)
@@ -57,18 +102,17 @@
     m_isLow = false;
     m_askedAt = now;
     std::erase_if(m_asked, [&](const auto &asked) { return now - asked.second.first > loanLife; });
-    if (lenders.empty())
-        return std::nullopt;
     QuotaAsk ask{ m_self, {}, m_askNumber + 1, {} };
     for (auto &[organisation, entry] : m_entries) {
         const double wanted = entry.share.wanted(now);
         if (wanted <= 0 || now < entry.askAgainAt)
             continue;
-        ask.tokens[organisation] = wanted / static_cast<double>(lenders.size());
+        ask.tokens[organisation]
+                = wanted / static_cast<double>(std::max<std::size_t>(1, lenders.size()));
         entry.askAgainAt = now + entry.askPause;
         entry.askPause = std::min(longestAskPeriod, entry.askPause * 2);
     }
-    if (ask.tokens.empty())
+    if (ask.tokens.empty() || lenders.empty())
         return std::nullopt;
     m_asked[++m_askNumber] = { now, lenders };
     return ask;
--- a/src/decide/QuotaLedger.h
+++ b/src/decide/QuotaLedger.h
@@ -4,6 +4,7 @@
 #include "decide/QuotaShare.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -13,6 +14,13 @@
 
 namespace basildeck {
 
+// What becomes of a request by its organisation's quota.
+enum class QuotaAnswer {
+    Admitted,
+    Waits, // for a token that is about to come
+    Refused,
+};
+
 // One VM's parts of the quotas of all organisations, what it tells the other VMs of them, and the
 // tokens that they lend each other.
 class QuotaLedger
@@ -29,6 +37,12 @@
     // Loans that come later than this are not taken: the lender may hold as much again by then.
     static constexpr Duration loanLife = seconds(1);
 
+    // How long a request may wait for a token: an ask and its answer, with what passes before the
+    // ask.
+    static constexpr Duration longestWait = milliseconds(150);
+    // Requests of an organisation that may wait at once: no more than a loan can bring tokens for.
+    static constexpr std::size_t mostWaiting = 2;
+
     explicit QuotaLedger(std::string self)
         : m_self(std::move(self))
     {}
@@ -38,9 +52,14 @@
     // Sets the parts anew by what the VMs that are heard from want.
     void setPeers(std::size_t registeredVms, const std::vector<const PeerBeat *> &reachable,
                   Time now);
-    // Takes a token of an organisation's quota; true if it has no limit here. False if there is
-    // none.
-    bool admit(const std::string &organisation, Time now);
+    // Takes a token of an organisation's quota for a request. Without one, the request waits if a
+    // token is expected in time, from the organisation's rate or from VMs that have lent before.
+    QuotaAnswer admit(const std::string &organisation, std::uint64_t request, Time now);
+    // Requests that have waited and are now admitted, or refused because no token came.
+    std::vector<std::pair<std::uint64_t, QuotaAnswer>> settle(Time now);
+    bool isAnyWaiting() const { return !m_waiting.empty(); }
+    // A request does not wait any more.
+    void forget(std::uint64_t request);
     // The share of an organisation, null if it has no limit here.
     QuotaShare *find(const std::string &organisation);
 
@@ -68,11 +87,20 @@
         QuotaShare share;
         Time askAgainAt;
         Duration askPause = askPeriod; // doubles while asks bring nothing
+        std::size_t waiting = 0;
+    };
+    struct Waiting
+    {
+        std::uint64_t request;
+        std::string organisation;
+        Time until;
     };
+    bool isTokenExpected(const Entry &entry) const;
 
     std::string m_self;
     std::map<std::string, Entry> m_entries;
-    bool m_isLow = false; // of some organisation, tokens ran low since the last ask
+    std::deque<Waiting> m_waiting; // oldest first
+    bool m_isLow = false;          // of some organisation, tokens ran low since the last ask
     Time m_askedAt{};
     std::uint64_t m_askNumber = 0;
     std::map<std::uint64_t, std::pair<Time, std::set<std::string>>> m_asked; // VMs yet to answer
--- a/src/decide/QuotaShare.cpp
+++ b/src/decide/QuotaShare.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <numeric>
+#include <utility>
 
 namespace basildeck {
 
@@ -40,6 +41,8 @@
                                        [&](double sum, double peer) { return sum + peer + base; });
     m_part = all > 0 ? reachable * own / all : 1 / m_registeredVms;
     m_burstPart = (m_part + 1 / m_registeredVms) / 2;
+    if (!std::exchange(m_hasStarted, true))
+        m_tokens = m_limit.atStart / m_registeredVms;
     m_tokens = std::min(m_tokens, capacity());
 }
 
@@ -68,7 +71,9 @@
 double QuotaShare::lend(double most, Time now)
 {
     advance(now);
-    const double lent = std::clamp(m_tokens - capacity() * keptPart, 0.0, most);
+    // Less than a token serves no request here.
+    const double spare = m_tokens < 1 ? m_tokens : m_tokens - keptTokens();
+    const double lent = std::clamp(spare, 0.0, most);
     m_tokens -= lent;
     return lent;
 }
@@ -79,11 +84,22 @@
     m_tokens = std::min(capacity(), m_tokens + tokens);
 }
 
-bool QuotaShare::admit(Time now)
+void QuotaShare::count(Time now)
 {
     advance(now);
     m_slowCount += 1;
     m_fastCount += 1;
+}
+
+bool QuotaShare::admit(Time now)
+{
+    count(now);
+    return take(now);
+}
+
+bool QuotaShare::take(Time now)
+{
+    advance(now);
     if (m_limit.rate <= 0)
         return true;
     if (m_tokens < 1)
--- a/src/decide/QuotaShare.h
+++ b/src/decide/QuotaShare.h
@@ -2,6 +2,7 @@
 
 #include "basildeck/Time.h"
 
+#include <algorithm>
 #include <vector>
 
 namespace basildeck {
@@ -11,18 +12,27 @@
 {
     double rate = 0;  // requests per second, 0: no limit
     double burst = 0; // requests
+    // Requests that VMs that start may use at once, all together, before tokens have come in.
+    double atStart = 0;
+    // Requests by which a window may exceed rate and burst.
+    double windowExcess = 0;
     bool operator==(const QuotaLimit &other) const = default;
 
     // Part of what a window may exceed a limit by that is used in calm, to even out how requests
     // fall on the VMs. The rest covers VMs that disagree on who is reachable.
     static constexpr double evenedOut = 0.7;
+    // Of the requests that a window may hold beyond that: what is used to even out, and what starts
+    // of VMs may use. The rest covers the same as above.
+    static constexpr double evenedOutRequests = 0.2;
+    static constexpr double requestsAtStart = 0.5;
 
     // The limit that the VMs divide among themselves, where a window may exceed the limit by a part
     // of it and a number of requests.
-    QuotaLimit withOvershoot(double part, double requests) const
+    QuotaLimit withOvershoot(double part, double requests, Duration window) const
     {
         return { rate * (1 + part * evenedOut),
-                 burst * (1 + part * evenedOut) + requests * evenedOut };
+                 burst * (1 + part * evenedOut) + requests * evenedOutRequests,
+                 requests * requestsAtStart, part * (rate * toSeconds(window) + burst) + requests };
     }
 };
 
@@ -55,6 +65,13 @@
     // so while demand rises everywhere, as after a start of the whole fleet, the parts of all add
     // up to less than one, by this factor a beat.
     static constexpr double mostGrowth = 2;
+    // Tokens that a VM may hold besides its part of the burst, so that in a large fleet two
+    // requests in a row find one: twice an equal part of the excess of a window, within these
+    // limits. In calm few VMs hold all of it, and when demand rises everywhere the parts of the
+    // rate shrink for a second; replays of that at 7 to 38 VMs stay in the window.
+    static constexpr double excessUsed = 2;
+    static constexpr double leastSpareTokens = 1;
+    static constexpr double mostSpareTokens = 2;
     // A VM with less than this part of the tokens that it may hold asks the others for tokens, and
     // one lends only what it has beyond this part.
     static constexpr double keptPart = 0.5;
@@ -66,7 +83,11 @@
 
     void setLimit(const QuotaLimit &limit, Time now);
     void setDemand(const QuotaDemand &demand, Time now);
+    // Counts a request as demand.
+    void count(Time now);
     // Takes a token for one request. False if there is none.
+    bool take(Time now);
+    // Both.
     bool admit(Time now);
     // Tokens that this VM would borrow, 0 if it has enough.
     double wanted(Time now);
@@ -90,7 +111,14 @@
     void advance(Time now);
     double baseDemand() const { return basePart * m_limit.rate / m_registeredVms; }
     // Tokens that this VM may hold.
-    double capacity() const { return m_limit.burst * m_burstPart + 1; }
+    double capacity() const { return m_limit.burst * m_burstPart + spareTokens(); }
+    // Tokens below which this VM lends none: one at least, for the next request.
+    double keptTokens() const { return std::max(1.0, capacity() * keptPart); }
+    double spareTokens() const
+    {
+        return std::clamp(excessUsed * m_limit.windowExcess / m_registeredVms, leastSpareTokens,
+                          mostSpareTokens);
+    }
 
     QuotaLimit m_limit;
     double m_part = 0;      // of the rate
@@ -99,7 +127,8 @@
     double m_told = 0;       // in the last beat
     double m_toldBefore = 0; // in the beat before
     double m_tokens = 0;
-    double m_slowCount = 0; // decaying counts of requests
+    bool m_hasStarted = false; // its part of the tokens for starts has been taken
+    double m_slowCount = 0;    // decaying counts of requests
     double m_fastCount = 0;
     Time m_updated;
 };
--- a/src/edge/EdgeProcess.cpp
+++ b/src/edge/EdgeProcess.cpp
@@ -83,6 +83,7 @@
               [&self, &quotas](const QuotaAsk &ask) { return quotas.lend(ask, self.m_loop.now()); },
               [&self, &quotas](const QuotaLoan &loan) {
                   quotas.borrow(loan, self.m_loop.now());
+                  self.m_forwarder.serveTokens();
               } });
     if (!self.m_gossip)
         return failure(ErrorKind::InvalidSetting,
--- a/src/edge/EdgeSettings.h
+++ b/src/edge/EdgeSettings.h
@@ -17,6 +17,7 @@
     double retryRatio = 0.2;                 // retries for each request, over the fleet
     double retrySlack = 0;                   // retries besides, in each window
     double quotaOvershoot = 0;               // part of a quota that a window may exceed it by
+    Duration quotaWindow = seconds(5);       // in which quotas are counted
     double quotaSlack = 0;                   // requests in a window besides
     double coldOvershoot = 1;                // factor on what a cold target bears
     double coldSlack = 0;                    // requests a second besides
--- a/src/edge/ForwardedRequest.h
+++ b/src/edge/ForwardedRequest.h
@@ -69,10 +69,11 @@
     int sends = 0; // targets that the request was sent to
     std::vector<std::string> tried;
     bool mayHaveRun = false;
-    std::string target;       // that it waits for or runs on
-    bool isWaiting = false;   // in the queue of the target's gate
-    bool isRunning = false;   // sent, or about to be sent on a new connection
-    bool isCongested = false; // reading from the target is stopped
+    std::string target;         // that it waits for or runs on
+    bool waitsForToken = false; // of its organisation's quota
+    bool isWaiting = false;     // in the queue of the target's gate
+    bool isRunning = false;     // sent, or about to be sent on a new connection
+    bool isCongested = false;   // reading from the target is stopped
     Time sentAt;
     std::unique_ptr<ClientConnection> connection;
     TargetAnswer answer;
--- a/src/edge/Forwarder.cpp
+++ b/src/edge/Forwarder.cpp
@@ -19,6 +19,8 @@
 // When to come back if no target of a service may be used.
 constexpr Duration noTargetRetryAfter = milliseconds(500);
 constexpr Duration quarantineRetryAfter = seconds(2);
+// How often requests that wait for a token of a quota are looked at, besides when a loan comes.
+constexpr Duration tokenPeriod = milliseconds(20);
 constexpr Duration shortestQuotaRetryAfter = milliseconds(200);
 
 // What was known of each home: requests in flight of those allowed, expected wait and run.
@@ -72,6 +74,7 @@
     , m_names(names)
     , m_targets(targets)
     , m_quotas(settings.vmName)
+    , m_tokenTimer(loop, [this] { serveTokens(); })
 {
     m_targets.setOnClosed([this](TargetState &target) { targetClosed(target); });
 }
@@ -110,8 +113,9 @@
     std::map<std::string, QuotaLimit> limits;
     for (const Organisation &organisation : m_routing->config().organisations) {
         const QuotaLimit limit{ organisation.rate, organisation.burst };
-        limits[organisation.name] = limit.withOvershoot(m_settings.bounds.quotaOvershoot,
-                                                        m_settings.bounds.quotaSlack);
+        const EdgeBounds &bounds = m_settings.bounds;
+        limits[organisation.name]
+                = limit.withOvershoot(bounds.quotaOvershoot, bounds.quotaSlack, bounds.quotaWindow);
     }
     m_quotas.setLimits(limits, now);
     for (const Service &service : m_routing->config().services) {
@@ -239,13 +243,47 @@
     }
     if (request.organisation == nullptr)
         return true;
-    if (m_quotas.admit(request.organisation->name, now))
+    switch (m_quotas.admit(request.organisation->name, request.id, now)) {
+    case QuotaAnswer::Admitted:
         return true;
+    case QuotaAnswer::Waits:
+        request.waitsForToken = true;
+        m_tokenTimer.startOnce(tokenPeriod);
+        return false;
+    case QuotaAnswer::Refused:
+        refuseOverRate(request);
+        return false;
+    }
+    return false;
+}
+
+void Forwarder::refuseOverRate(Request &request)
+{
+    const Time now = m_loop.now();
     QuotaShare *quota = m_quotas.find(request.organisation->name);
+    if (quota == nullptr) { // the configuration has changed since
+        refuse(request, ErrorKind::OverRate, shortestQuotaRetryAfter);
+        return;
+    }
     refuse(request, ErrorKind::OverRate, std::max(shortestQuotaRetryAfter, quota->nextToken()),
            "quota_part=" + std::to_string(quota->part()) + " demand_per_s="
                    + std::to_string(quota->demand(now)) + " vms=" + std::to_string(m_vmCount));
-    return false;
+}
+
+void Forwarder::serveTokens()
+{
+    for (const auto &[id, answer] : m_quotas.settle(m_loop.now())) {
+        const auto found = m_requests.find(id);
+        if (found == m_requests.end())
+            continue;
+        found->second->waitsForToken = false;
+        if (answer == QuotaAnswer::Admitted)
+            dispatch(*found->second);
+        else
+            refuseOverRate(*found->second);
+    }
+    if (m_quotas.isAnyWaiting())
+        m_tokenTimer.startOnce(tokenPeriod);
 }
 
 std::vector<TargetState *> Forwarder::usableHomes(const Request &request, Time now)
@@ -426,6 +464,8 @@
 
 void Forwarder::finish(Request &request)
 {
+    if (request.waitsForToken)
+        m_quotas.forget(request.id);
     request.deadlineTimer.reset();
     request.waitTimer.reset();
     request.connectTimer.reset();
--- a/src/edge/Forwarder.h
+++ b/src/edge/Forwarder.h
@@ -51,6 +51,8 @@
     // Answers all open requests, because this VM is about to end.
     void abandonAll();
 
+    // Goes on with requests that waited for tokens of quotas.
+    void serveTokens();
     // Quotas by organisation.
     QuotaLedger &quotas() { return m_quotas; }
     const QuotaLedger &quotas() const { return m_quotas; }
@@ -65,6 +67,7 @@
     bool checkKey(Request &request);
     bool checkLimits(Request &request);
     void prepare(Request &request);
+    void refuseOverRate(Request &request);
 
     void dispatch(Request &request);
     // The usable homes of a request, best first.
@@ -104,6 +107,7 @@
     std::shared_ptr<RoutingTable> m_routing;
     std::unordered_map<RequestId, std::unique_ptr<Request>> m_requests;
     QuotaLedger m_quotas;
+    Timer m_tokenTimer;                                // runs while requests wait for tokens
     std::map<std::string, RetryBudget> m_retryBudgets; // by service
     std::size_t m_vmCount = 1;
     CrashList m_crashes;
