A first list does not count as a change of the store

Cause: a VM that starts told the store's revision, which all kinds share, as the revision of the last change of each kind.

Change: the last change is the newest object's revision, or that of a list in which an object is missing. A VM that is cut off from the store learns of a deletion before a first list of all others only from the store. Test: "a first list tells the revision of its newest object", which fails before.

--- a/src/edge/ObjectReplica.cpp
+++ b/src/edge/ObjectReplica.cpp
@@ -102,13 +102,15 @@
 
 void ObjectReplica::replaceAll(std::map<std::string, StoredObject> objects)
 {
-    m_changeRevision = m_revision;
     const auto before = std::exchange(m_objects, std::move(objects));
     for (const auto &[name, object] : before) {
-        if (!m_objects.contains(name))
-            m_callbacks.deleted(name);
+        if (m_objects.contains(name))
+            continue;
+        m_changeRevision = m_revision; // it was deleted at some revision up to this one
+        m_callbacks.deleted(name);
     }
     for (const auto &[name, object] : m_objects) {
+        m_changeRevision = std::max(m_changeRevision, object.revision);
         const auto old = before.find(name);
         if (old == before.end() || old->second.revision != object.revision)
             m_callbacks.stored(object);
--- a/src/edge/ObjectReplica.h
+++ b/src/edge/ObjectReplica.h
@@ -44,7 +44,7 @@
     const std::string &kind() const { return m_kind; }
     // Revision of the store that the copy shows; 0 before the first list.
     std::uint64_t revision() const { return m_revision; }
-    // Revision at which the last change of the copy was seen.
+    // Revision of the last change that the copy shows. A first list shows no deletions.
     std::uint64_t changeRevision() const { return m_changeRevision; }
     bool isReachable() const { return m_reachable; }
     const std::map<std::string, StoredObject> &objects() const { return m_objects; }
--- a/tests/ObjectReplicaTest.cpp
+++ b/tests/ObjectReplicaTest.cpp
@@ -142,6 +142,24 @@
     CHECK(world.replica().changeRevision() == 9);
 }
 
+// Grown sites, inc-c00f and inc-f5f5: each VM that started told the store's revision as that of the
+// last change, and all others took its whole copy of each kind.
+TEST_CASE("a first list tells the revision of its newest object as the last change")
+{
+    ReplicaWorld world;
+    world.nextCall();
+    world.answer(200, page(object("a", 7) + "," + object("b", 2), 50));
+    world.nextCall();
+    CHECK(world.replica().revision() == 50);
+    CHECK(world.replica().changeRevision() == 7);
+    // A later list in which an object is missing tells of a change that no object shows.
+    world.answer(410, "{}");
+    world.nextCall();
+    world.answer(200, page(object("a", 7), 60));
+    world.nextCall();
+    CHECK(world.replica().changeRevision() == 60);
+}
+
 TEST_CASE("a forgotten history is answered by a new list, which removes what is missing")
 {
     ReplicaWorld world;
