--- a/src/edge/FleetView.cpp
+++ b/src/edge/FleetView.cpp
@@ -34,7 +34,8 @@
             parts.format.targetKind,
             { [this](const StoredObject &object) { takeTarget(object); },
               [this](const std::string &name) { m_parts.targets.remove(name, m_parts.loop.now()); },
-              [] {}, reachable }));
+              [] {}, reachable },
+            targetPause));
     m_replicas.push_back(
             makeReplica(parts.format.evacuationKind,
                         { [this](const StoredObject &object) {
@@ -51,12 +52,12 @@
 
 FleetView::~FleetView() = default;
 
-std::unique_ptr<ObjectReplica> FleetView::makeReplica(const std::string &kind,
-                                                      ObjectReplica::Callbacks callbacks)
+std::unique_ptr<ObjectReplica>
+FleetView::makeReplica(const std::string &kind, ObjectReplica::Callbacks callbacks, Duration pause)
 {
     return std::make_unique<ObjectReplica>(m_parts.loop, m_parts.protocol,
                                            m_parts.settings.storeAddress, kind,
-                                           std::move(callbacks));
+                                           std::move(callbacks), pause);
 }
 
 void FleetView::start()
--- a/src/edge/FleetView.h
+++ b/src/edge/FleetView.h
@@ -19,6 +19,9 @@
 public:
     // Kind of the objects by which VMs find each other, one for each VM.
     static constexpr const char *vmKind = "basildeck-vms";
+    // Time between a change of a target and the next watch of targets: they change in series, and a
+    // quarter of the shortest bound by which a target's leaving is to be followed passes at most.
+    static constexpr Duration targetPause = milliseconds(600);
     // How often copies of other VMs are considered.
     static constexpr Duration copyPeriod = milliseconds(500);
     // How long another VM may know of a change before this VM takes its copy, although the store
@@ -61,7 +64,8 @@
     void registerSelf();
     void removeGoneVm();
     std::unique_ptr<ObjectReplica> makeReplica(const std::string &kind,
-                                               ObjectReplica::Callbacks callbacks);
+                                               ObjectReplica::Callbacks callbacks,
+                                               Duration pause = ObjectReplica::shortestPause);
     ObjectReplica *replica(const std::string &kind) const;
 
     Parts m_parts;
--- a/src/edge/ObjectReplica.cpp
+++ b/src/edge/ObjectReplica.cpp
@@ -16,11 +16,12 @@
 } // namespace
 
 ObjectReplica::ObjectReplica(EventLoop &loop, const ObjectProtocol &protocol, Address store,
-                             std::string kind, Callbacks callbacks)
+                             std::string kind, Callbacks callbacks, Duration pause)
     : m_protocol(protocol)
     , m_store(std::move(store))
     , m_kind(std::move(kind))
     , m_callbacks(std::move(callbacks))
+    , m_pause(pause)
     , m_caller(loop)
     , m_retry(loop, [this] { m_needsList ? list() : watch(); })
 {}
@@ -174,7 +175,7 @@
     }
     m_changeRevision = m_revision;
     m_callbacks.settled();
-    m_retry.startOnce(coalescing);
+    m_retry.startOnce(m_pause);
 }
 
 void ObjectReplica::apply(const ObjectChange &change)
--- a/src/edge/ObjectReplica.h
+++ b/src/edge/ObjectReplica.h
@@ -20,7 +20,7 @@
     // found out by the revisions that other VMs tell.
     static constexpr milliseconds watchWait{ 10000 };
     // Time between a change and the next watch, so that changes that come together cost one call.
-    static constexpr Duration coalescing = milliseconds(250);
+    static constexpr Duration shortestPause = milliseconds(250);
     static constexpr Duration callTimeout = milliseconds(1500);
     static constexpr Duration firstBackoff = milliseconds(150);
     static constexpr Duration longestBackoff = milliseconds(1000);
@@ -36,7 +36,7 @@
     };
 
     ObjectReplica(EventLoop &loop, const ObjectProtocol &protocol, Address store, std::string kind,
-                  Callbacks callbacks);
+                  Callbacks callbacks, Duration pause = shortestPause);
 
     void start();
     void stop();
@@ -68,6 +68,7 @@
     Address m_store;
     std::string m_kind;
     Callbacks m_callbacks;
+    Duration m_pause;
     HttpCaller m_caller;
     Timer m_retry;
     std::map<std::string, StoredObject> m_objects;
