--- a/src/edge/Forwarder.cpp
+++ b/src/edge/Forwarder.cpp
@@ -248,6 +248,8 @@
         return true;
     case QuotaAnswer::Waits:
         request.waitsForToken = true;
+        BASILDECK_INFO(part) << "waits for a token request=" << request.callerRequestId
+                             << " organisation=" << request.organisation->name;
         m_tokenTimer.startOnce(tokenPeriod);
         return false;
     case QuotaAnswer::Refused:
--- a/src/edge/Forwarder.h
+++ b/src/edge/Forwarder.h
@@ -83,6 +83,8 @@
     void takeWholeAnswer(Request &request);
     void takeFailure(Request &request, ExchangeFailure how);
     void takeDeadline(Request &request);
+    // A run at a target failed by the target's doing.
+    void noteFailure(TargetState &target);
     // Reports runs that were lost at a target which turns out to have crashed.
     void blameLostRuns(TargetState &target, Time now);
     void takeNotRun(Request &request);
--- a/src/edge/ForwarderAnswers.cpp
+++ b/src/edge/ForwarderAnswers.cpp
@@ -195,7 +195,7 @@
     if (target != nullptr) {
         if (wrongTarget) {
             target->gate.ended();
-            target->outlier.failed(m_loop.now());
+            noteFailure(*target);
         } else {
             target->gate.shed();
         }
@@ -221,8 +221,7 @@
     endRun(request, true);
     if (target != nullptr) {
         target->gate.ended();
-        if (target->outlier.failed(now))
-            BASILDECK_INFO(part) << "target is set aside target=" << request.target;
+        noteFailure(*target);
         if (how == ExchangeFailure::Lost)
             target->lostRuns.push_back({ request.fingerprint, now - request.sentAt, now });
         if (!wasSent)
@@ -248,6 +247,13 @@
         serveQueue(*target);
 }
 
+void Forwarder::noteFailure(TargetState &target)
+{
+    if (target.outlier.failed(m_loop.now()))
+        BASILDECK_INFO(part) << "target is set aside target=" << target.info.id
+                             << " failures_in_row=" << OutlierWatch::failuresToEject;
+}
+
 void Forwarder::blameLostRuns(TargetState &target, Time now)
 {
     for (const LostRun &run : std::exchange(target.lostRuns, {})) {
@@ -272,7 +278,7 @@
         request.mayHaveRun = true;
         if (target != nullptr) {
             target->gate.ended();
-            target->outlier.failed(m_loop.now());
+            noteFailure(*target);
         }
     }
     if (request.answer.streaming) {
--- a/tests/EdgeForwardingTest.cpp
+++ b/tests/EdgeForwardingTest.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <thread>
+
 namespace basildeck::test {
 
 using standin::RawAnswer;
@@ -233,6 +235,30 @@
     CHECK_FALSE(answer.head.header("retry-after").empty());
 }
 
+TEST_CASE("a request waits for a token that another VM lends, and not for one that is not to come")
+{
+    EdgeWorld world;
+    const std::string poor
+            = " HTTP/1.1\r\nHost: gauge.example\r\nApi-Key: beta-key\r\nRequest-Id: ";
+    auto caller = world.call("GET /safe/" + poor + "r1\r\n\r\n");
+    while (world.openRequests() == 0)
+        std::this_thread::yield();
+    world.lend("beta", 1);
+    auto at = world.arrival();
+    at.socket->send(EdgeWorld::answer("r1", "body"));
+    CHECK(whole(*caller).head.status() == 200);
+
+    // No loan comes: it is refused, and so is one whose caller leaves meanwhile without harm.
+    auto other = world.call("GET /safe/" + poor + "r2\r\n\r\n");
+    auto leaving = world.call("GET /safe/" + poor + "r3\r\n\r\n");
+    leaving.reset();
+    const RawAnswer answer = whole(*other);
+    CHECK(answer.head.status() == 429);
+    CHECK(answer.head.header("basildeck-run") == "not-run");
+    while (world.openRequests() != 0)
+        std::this_thread::yield();
+}
+
 TEST_CASE("an open route needs no key and names no organisation")
 {
     EdgeWorld world;
--- a/tests/EdgeWorld.cpp
+++ b/tests/EdgeWorld.cpp
@@ -7,6 +7,8 @@
 
 #include <unistd.h>
 
+#include <utility>
+
 namespace basildeck::test {
 
 namespace {
@@ -92,10 +94,10 @@
     REQUIRE(server);
     m_server = std::move(server.value());
     m_server->setLimits(config.limits);
-    REQUIRE(pipe(m_stopPipe) == 0);
-    m_stopWatch = std::make_unique<DescriptorWatch>(m_loop, m_stopPipe[0],
+    REQUIRE(pipe(m_pipe) == 0);
+    m_pipeWatch = std::make_unique<DescriptorWatch>(m_loop, m_pipe[0],
                                                     [this](bool, bool) { takeCommand(); });
-    m_stopWatch->want(true, false);
+    m_pipeWatch->want(true, false);
     m_thread = std::thread([this] { m_loop.run(); });
 }
 
@@ -103,29 +105,54 @@
 void EdgeWorld::takeCommand()
 {
     char command = 0;
-    const ssize_t count = read(m_stopPipe[0], &command, 1);
-    if (count == 1 && command == 'a') {
-        m_server->stopAccepting();
-        m_stoppedAccepting.set_value();
+    const ssize_t count = read(m_pipe[0], &command, 1);
+    if (count != 1 || !m_command) {
+        m_loop.stop();
         return;
     }
-    m_loop.stop();
+    std::exchange(m_command, {})();
+    m_commandDone.set_value();
+}
+
+void EdgeWorld::onLoop(std::function<void()> command)
+{
+    m_command = std::move(command);
+    m_commandDone = {};
+    REQUIRE(write(m_pipe[1], "c", 1) == 1);
+    m_commandDone.get_future().wait();
 }
 
 void EdgeWorld::stopAccepting()
 {
-    REQUIRE(write(m_stopPipe[1], "a", 1) == 1);
-    m_stoppedAccepting.get_future().wait();
+    onLoop([this] { m_server->stopAccepting(); });
+}
+
+std::size_t EdgeWorld::openRequests()
+{
+    std::size_t count = 0;
+    onLoop([&] { count = m_forwarder->openRequests(); });
+    return count;
+}
+
+void EdgeWorld::lend(const std::string &organisation, double tokens)
+{
+    onLoop([&] {
+        QuotaLedger &quotas = m_forwarder->quotas();
+        const auto ask = quotas.ask({ "vm-2" }, m_loop.now());
+        REQUIRE(ask);
+        quotas.borrow({ "vm-2", ask->number, { { organisation, tokens } } }, m_loop.now());
+        m_forwarder->serveTokens();
+    });
 }
 
 EdgeWorld::~EdgeWorld()
 {
-    const ssize_t written = write(m_stopPipe[1], "x", 1);
+    const ssize_t written = write(m_pipe[1], "x", 1);
     static_cast<void>(written);
     m_thread.join();
-    m_stopWatch.reset();
-    close(m_stopPipe[0]);
-    close(m_stopPipe[1]);
+    m_pipeWatch.reset();
+    close(m_pipe[0]);
+    close(m_pipe[1]);
 }
 
 std::unique_ptr<standin::RawSocket> EdgeWorld::call(const std::string &bytes)
--- a/tests/EdgeWorld.h
+++ b/tests/EdgeWorld.h
@@ -4,6 +4,7 @@
 #include "edge/Forwarder.h"
 #include "standin/RawSocket.h"
 
+#include <functional>
 #include <future>
 #include <memory>
 #include <string>
@@ -31,6 +32,9 @@
     standin::RawListener &target(std::size_t index) { return *m_listeners.at(index); }
     // Has the edge take no more requests, and waits until it does.
     void stopAccepting();
+    std::size_t openRequests();
+    // Another VM lends tokens of an organisation's quota, once the edge has something to ask for.
+    void lend(const std::string &organisation, double tokens);
     // The request that a target gets next on a new connection.
     struct Arrival
     {
@@ -54,6 +58,8 @@
 private:
     FleetConfig makeConfig() const;
     void takeCommand();
+    // Runs a function on the thread of the loop.
+    void onLoop(std::function<void()> command);
 
     EventLoop m_loop;
     EdgeSettings m_settings;
@@ -63,9 +69,10 @@
     std::unique_ptr<EdgeServer> m_server;
     std::vector<std::unique_ptr<standin::RawListener>> m_listeners;
     Address m_address;
-    std::unique_ptr<DescriptorWatch> m_stopWatch;
-    int m_stopPipe[2] = { -1, -1 };
-    std::promise<void> m_stoppedAccepting;
+    std::unique_ptr<DescriptorWatch> m_pipeWatch;
+    int m_pipe[2] = { -1, -1 };
+    std::function<void()> m_command;
+    std::promise<void> m_commandDone;
     std::thread m_thread;
 };
 
