A connection is idle from the end of its last answer

Connections were closed 15 s after their last request had come. Callers reuse connections for four fifths of that after the answer, which comes up to seconds later, so a close could cross the next request.

Ruled out: cuts of answers in streaming (43, each after a target's failure), requests behind others (none was pending at a close), the process's end (the VM left 4 s later).

Change: idle time counts from the end of the last answer, and not while output waits. Test with a synthetic clock, which fails before.

Open: a VM that leaves closes connections without requests after 3 s of its grace; a request that crosses this is read and dropped, 9 of the 24.

--- a/src/edge/CallerConnection.cpp
+++ b/src/edge/CallerConnection.cpp
@@ -14,6 +14,7 @@
                  [this](std::string_view bytes) { takeBody(bytes); }, [] {} })
     , m_ended(std::move(ended))
     , m_lastInput(context.loop.now())
+    , m_idleSince(m_lastInput)
     , m_messageBegan(m_lastInput)
 {
     m_stream->setCallbacks({ {},
@@ -42,7 +43,7 @@
 
 void CallerConnection::takeBytes(std::string_view bytes)
 {
-    m_lastInput = m_context.loop.now();
+    m_lastInput = m_idleSince = m_context.loop.now();
     if (!m_takesInput)
         return;
     if (!m_parser.isInMessage() && m_input.empty())
@@ -196,6 +197,7 @@
             return;
         const bool ends = front.endsConnection;
         m_pending.pop_front();
+        m_idleSince = m_context.loop.now();
         if (ends && (m_pending.empty() || m_takesInput)) {
             endAfterOutput();
             return;
@@ -262,7 +264,8 @@
             refuseInput(ErrorKind::HeadTimeout);
         return;
     }
-    if (now - m_lastInput <= limits.idleTimeout || !m_pending.empty())
+    if (now - m_idleSince <= limits.idleTimeout || !m_pending.empty()
+        || m_stream->pendingOutput() > 0)
         return;
     if (m_parser.isInMessage())
         end();
--- a/src/edge/CallerConnection.h
+++ b/src/edge/CallerConnection.h
@@ -99,6 +99,7 @@
     std::deque<Pending> m_pending;
     std::uint64_t m_nextNumber = 1;
     Time m_lastInput;
+    Time m_idleSince; // the last input, or the end of the last answer if that came later
     Time m_messageBegan;
     Time m_lingerUntil;
     bool m_takesInput = true; // false once the connection is about to end
