Idle connections are closed without reading what crosses the close

Ruled out: closing at once in all cases (unread input makes the close a reset, which could take an answer that is still on its way from the caller).

Change: a connection without requests that has been idle for over a second is closed at once, others end their stream and linger as before. Ending connections while going over them works on a copy of the list. Loans and asks that are not positive numbers are ignored.

--- a/src/decide/QuotaShare.cpp
+++ b/src/decide/QuotaShare.cpp
@@ -71,6 +71,8 @@
 double QuotaShare::lend(double most, Time now)
 {
     advance(now);
+    if (!(most > 0)) // also not a number, of a peer that is not sound
+        return 0;
     // Less than a token serves no request here.
     const double spare = m_tokens < 1 ? m_tokens : m_tokens - keptTokens();
     const double lent = std::clamp(spare, 0.0, most);
@@ -81,7 +83,8 @@
 void QuotaShare::borrow(double tokens, Time now)
 {
     advance(now);
-    m_tokens = std::min(capacity(), m_tokens + tokens);
+    if (tokens > 0)
+        m_tokens = std::min(capacity(), m_tokens + tokens);
 }
 
 void QuotaShare::count(Time now)
--- a/src/edge/CallerConnection.cpp
+++ b/src/edge/CallerConnection.cpp
@@ -36,7 +36,7 @@
     m_takesInput = false;
     m_input.clear();
     if (m_pending.empty())
-        endAfterOutput();
+        endIdle();
     else
         m_pending.back().endsConnection = true;
 }
@@ -219,6 +219,16 @@
     end();
 }
 
+void CallerConnection::endIdle()
+{
+    // Closing at once while an answer is on its way could take it from the caller.
+    const bool isDelivered = m_context.loop.now() - m_idleSince > lingerTime;
+    if (isDelivered && m_stream->pendingOutput() == 0)
+        end();
+    else
+        endAfterOutput();
+}
+
 void CallerConnection::endAfterOutput()
 {
     m_takesInput = false;
@@ -270,7 +280,7 @@
     if (m_parser.isInMessage())
         end();
     else
-        endAfterOutput();
+        endIdle();
 }
 
 } // namespace basildeck
--- a/src/edge/CallerConnection.h
+++ b/src/edge/CallerConnection.h
@@ -85,6 +85,9 @@
     void cut();
     void flushAnswers();
 
+    // Ends a connection without requests. One that was idle for long is closed at once: input that
+    // crosses that is left unread, so it cannot pass for a request that was taken.
+    void endIdle();
     void endAfterOutput();
     void end();
 
@@ -95,7 +98,6 @@
     std::string m_input; // not parsed yet
     IncomingRequest m_reading;
     std::size_t m_readingBody = 0;
-    bool m_refusesBody = false;
     std::deque<Pending> m_pending;
     std::uint64_t m_nextNumber = 1;
     Time m_lastInput;
--- a/src/edge/EdgeServer.cpp
+++ b/src/edge/EdgeServer.cpp
@@ -41,18 +41,22 @@
 void EdgeServer::tick()
 {
     const Time now = m_context.loop.now();
-    // A tick may end its connection.
+    for (CallerConnection *connection : connectionList())
+        connection->tick(now);
+}
+
+std::vector<CallerConnection *> EdgeServer::connectionList() const
+{
     std::vector<CallerConnection *> connections;
     for (const auto &[number, connection] : m_connections)
         connections.push_back(connection.get());
-    for (CallerConnection *connection : connections)
-        connection->tick(now);
+    return connections;
 }
 
 void EdgeServer::stopAccepting()
 {
     m_listener.reset();
-    for (const auto &[number, connection] : m_connections)
+    for (CallerConnection *connection : connectionList())
         connection->stopTaking();
 }
 
--- a/src/edge/EdgeServer.h
+++ b/src/edge/EdgeServer.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <memory>
+#include <vector>
 
 namespace basildeck {
 
@@ -28,6 +29,8 @@
 private:
     EdgeServer(EventLoop &loop, RequestHandler handler, std::size_t maxBodyBytes);
     void accept(int descriptor);
+    // A copy, since what is done to a connection may end it.
+    std::vector<CallerConnection *> connectionList() const;
     void tick();
 
     CallerContext m_context;
--- a/tests/CallerConnectionTest.cpp
+++ b/tests/CallerConnectionTest.cpp
@@ -54,6 +54,8 @@
         return count == 0;
     }
 
+    // Whether the edge has let go of it.
+    bool hasEnded() const { return m_hasEnded; }
     CallerConnection &connection() { return *m_connection; }
     Duration idleTimeout() const { return m_context.limits.idleTimeout; }
     Time now() const { return m_loop.now(); }
@@ -100,6 +102,31 @@
     CHECK(world.isEnded());
 }
 
+// What comes after the close of an idle connection must not be read: the caller could not tell it
+// from a request that was taken.
+TEST_CASE("an idle connection is closed without reading what crosses the close")
+{
+    ConnectionWorld world;
+    world.takeRequest();
+    world.answer();
+    std::this_thread::sleep_for(CallerConnection::lingerTime + milliseconds(20));
+    world.connection().stopTaking();
+    CHECK(world.hasEnded());
+    CHECK(world.isEnded());
+}
+
+TEST_CASE("an answer that may be on its way is awaited before a connection is closed")
+{
+    ConnectionWorld world;
+    world.takeRequest();
+    world.answer();
+    world.connection().stopTaking();
+    CHECK(world.isEnded()); // by the end of our stream
+    CHECK_FALSE(world.hasEnded());
+    world.connection().tick(world.now() + CallerConnection::lingerTime + milliseconds(1));
+    CHECK(world.hasEnded());
+}
+
 TEST_SUITE_END();
 
 } // namespace basildeck
