Tests of waits and idle connections take time and loans by hand

Cause: the edge test of a request that waits for a token raced the wait's 150 ms against its own thread; on a busy machine the request could be refused first and the test would wait for ever. Two new tests slept.

Ruled out: a longer wait for tests (the same race, later).

Change: the test world lends in the same turn of the loop; stopTaking() gets the time as tick() does, and the tests pass it. Behaviour is unchanged.

--- a/src/edge/CallerConnection.cpp
+++ b/src/edge/CallerConnection.cpp
@@ -29,14 +29,14 @@
 // A connection that has ended may outlive its server, and with it the context.
 CallerConnection::~CallerConnection() = default;
 
-void CallerConnection::stopTaking()
+void CallerConnection::stopTaking(Time now)
 {
     if (m_lingers || m_hasEnded)
         return;
     m_takesInput = false;
     m_input.clear();
     if (m_pending.empty())
-        endIdle();
+        endIdle(now);
     else
         m_pending.back().endsConnection = true;
 }
@@ -219,10 +219,10 @@
     end();
 }
 
-void CallerConnection::endIdle()
+void CallerConnection::endIdle(Time now)
 {
     // Closing at once while an answer is on its way could take it from the caller.
-    const bool isDelivered = m_context.loop.now() - m_idleSince > lingerTime;
+    const bool isDelivered = now - m_idleSince > lingerTime;
     if (isDelivered && m_stream->pendingOutput() == 0)
         end();
     else
@@ -280,7 +280,7 @@
     if (m_parser.isInMessage())
         end();
     else
-        endIdle();
+        endIdle(now);
 }
 
 } // namespace basildeck
--- a/src/edge/CallerConnection.h
+++ b/src/edge/CallerConnection.h
@@ -56,7 +56,7 @@
     // Ends connections whose caller is too slow, or idle for too long.
     void tick(Time now);
     // Takes no further requests and ends once those that were taken are answered.
-    void stopTaking();
+    void stopTaking(Time now);
 
 private:
     struct Pending
@@ -87,7 +87,7 @@
 
     // Ends a connection without requests. One that was idle for long is closed at once: input that
     // crosses that is left unread, so it cannot pass for a request that was taken.
-    void endIdle();
+    void endIdle(Time now);
     void endAfterOutput();
     void end();
 
--- a/src/edge/EdgeServer.cpp
+++ b/src/edge/EdgeServer.cpp
@@ -57,7 +57,7 @@
 {
     m_listener.reset();
     for (CallerConnection *connection : connectionList())
-        connection->stopTaking();
+        connection->stopTaking(m_context.loop.now());
 }
 
 } // namespace basildeck
--- a/tests/CallerConnectionTest.cpp
+++ b/tests/CallerConnectionTest.cpp
@@ -6,7 +6,6 @@
 #include <unistd.h>
 
 #include <optional>
-#include <thread>
 
 namespace basildeck {
 
@@ -90,10 +89,10 @@
     ConnectionWorld world;
     world.takeRequest();
     const Time requested = world.now();
-    const Duration step = milliseconds(20);
-    std::this_thread::sleep_for(step * 2);
-    const Time answered = world.now();
-    world.connection().tick(answered + world.idleTimeout() * 2);
+    const Duration step = Duration(1);
+    while (world.now() <= requested + step) { // the answer ends later than the request came
+    }
+    world.connection().tick(requested + world.idleTimeout() * 2);
     CHECK_FALSE(world.isEnded()); // the request is open
     world.answer();
     world.connection().tick(requested + world.idleTimeout() + step);
@@ -109,8 +108,7 @@
     ConnectionWorld world;
     world.takeRequest();
     world.answer();
-    std::this_thread::sleep_for(CallerConnection::lingerTime + milliseconds(20));
-    world.connection().stopTaking();
+    world.connection().stopTaking(world.now() + CallerConnection::lingerTime + milliseconds(1));
     CHECK(world.hasEnded());
     CHECK(world.isEnded());
 }
@@ -119,8 +117,9 @@
 {
     ConnectionWorld world;
     world.takeRequest();
+    const Time answered = world.now();
     world.answer();
-    world.connection().stopTaking();
+    world.connection().stopTaking(answered);
     CHECK(world.isEnded()); // by the end of our stream
     CHECK_FALSE(world.hasEnded());
     world.connection().tick(world.now() + CallerConnection::lingerTime + milliseconds(1));
--- a/tests/EdgeForwardingTest.cpp
+++ b/tests/EdgeForwardingTest.cpp
@@ -238,16 +238,15 @@
 TEST_CASE("a request waits for a token that another VM lends, and not for one that is not to come")
 {
     EdgeWorld world;
+    world.setLent(true);
     const std::string poor
             = " HTTP/1.1\r\nHost: gauge.example\r\nApi-Key: beta-key\r\nRequest-Id: ";
     auto caller = world.call("GET /safe/" + poor + "r1\r\n\r\n");
-    while (world.openRequests() == 0)
-        std::this_thread::yield();
-    world.lend("beta", 1);
     auto at = world.arrival();
     at.socket->send(EdgeWorld::answer("r1", "body"));
     CHECK(whole(*caller).head.status() == 200);
 
+    world.setLent(false);
     // No loan comes: it is refused, and so is one whose caller leaves meanwhile without harm.
     auto other = world.call("GET /safe/" + poor + "r2\r\n\r\n");
     auto leaving = world.call("GET /safe/" + poor + "r3\r\n\r\n");
--- a/tests/EdgeWorld.cpp
+++ b/tests/EdgeWorld.cpp
@@ -84,7 +84,7 @@
     m_address = { ip, standin::freePort(ip) };
     auto server = EdgeServer::make(
             m_loop, m_address,
-            { [this](IncomingRequest request) { return m_forwarder->submit(std::move(request)); },
+            { [this](IncomingRequest request) { return submit(std::move(request)); },
               [this](const AnswerSink &sink, ErrorKind kind) {
                   m_forwarder->refuseUnread(sink, kind);
               },
@@ -134,15 +134,27 @@
     return count;
 }
 
-void EdgeWorld::lend(const std::string &organisation, double tokens)
+void EdgeWorld::setLent(bool lent)
 {
-    onLoop([&] {
-        QuotaLedger &quotas = m_forwarder->quotas();
-        const auto ask = quotas.ask({ "vm-2" }, m_loop.now());
-        REQUIRE(ask);
-        quotas.borrow({ "vm-2", ask->number, { { organisation, tokens } } }, m_loop.now());
-        m_forwarder->serveTokens();
-    });
+    onLoop([&] { m_isLent = lent; });
+}
+
+std::uint64_t EdgeWorld::submit(IncomingRequest request)
+{
+    const std::uint64_t id = m_forwarder->submit(std::move(request));
+    QuotaLedger &quotas = m_forwarder->quotas();
+    if (!m_isLent || !quotas.isAskDue(m_loop.now()))
+        return id;
+    if (const auto ask = quotas.ask({ "vm-2" }, m_loop.now())) {
+        QuotaLoan loan{ "vm-2", ask->number, {} };
+        for (const auto &[organisation, tokens] : ask->tokens)
+            loan.tokens[organisation] = 1;
+        m_loop.defer([this, loan] {
+            m_forwarder->quotas().borrow(loan, m_loop.now());
+            m_forwarder->serveTokens();
+        });
+    }
+    return id;
 }
 
 EdgeWorld::~EdgeWorld()
--- a/tests/EdgeWorld.h
+++ b/tests/EdgeWorld.h
@@ -33,8 +33,9 @@
     // Has the edge take no more requests, and waits until it does.
     void stopAccepting();
     std::size_t openRequests();
-    // Another VM lends tokens of an organisation's quota, once the edge has something to ask for.
-    void lend(const std::string &organisation, double tokens);
+    // Whether another VM lends a token of each organisation that the edge has to ask for, in the
+    // same turn of the loop.
+    void setLent(bool lent);
     // The request that a target gets next on a new connection.
     struct Arrival
     {
@@ -58,6 +59,7 @@
 private:
     FleetConfig makeConfig() const;
     void takeCommand();
+    std::uint64_t submit(IncomingRequest request);
     // Runs a function on the thread of the loop.
     void onLoop(std::function<void()> command);
 
@@ -72,6 +74,7 @@
     std::unique_ptr<DescriptorWatch> m_pipeWatch;
     int m_pipe[2] = { -1, -1 };
     std::function<void()> m_command;
+    bool m_isLent = false;
     std::promise<void> m_commandDone;
     std::thread m_thread;
 };
