Quotas of large fleets: a few holders an organisation, from which the other VMs borrow

Cause: the tokens of an organisation were divided among all VMs. At 27 VMs and more a VM gets less than one request a second of an organisation, so tokens were seldom where the next request came in, and every VM reported the demand of every organisation to every other one.

Change: QuotaHolders selects two holders a region by rendezvous hashing in fleets of more than 12 VMs. Only holders accrue tokens and report demand; the others borrow one for each request (BorrowedTokens, which expire after 0.3 s), move on to the next holder after a refusal or 130 ms, and back off after three refusals. A VM that reaches no holder uses an equal part, which holders leave unused by the fraction of VMs that they reach. PeerTable keeps the regions of registered VMs.

--- a/src/decide/PeerTable.cpp
+++ b/src/decide/PeerTable.cpp
@@ -5,13 +5,16 @@
 
 namespace basildeck {
 
-void PeerTable::setRegistered(std::map<std::string, std::string> gossipAddresses, Time now)
+void PeerTable::setRegistered(std::map<std::string, RegisteredVm> vms, Time now)
 {
-    gossipAddresses.erase(m_self);
-    m_registered = std::move(gossipAddresses);
+    m_regions.clear();
+    for (const auto &[vm, registered] : vms)
+        m_regions[vm] = registered.region;
+    vms.erase(m_self);
+    m_registered = std::move(vms);
     std::erase_if(m_registeredSince,
                   [&](const auto &entry) { return !m_registered.contains(entry.first); });
-    for (const auto &[vm, address] : m_registered)
+    for (const auto &[vm, registered] : m_registered)
         m_registeredSince.try_emplace(vm, now);
 }
 
@@ -84,29 +87,20 @@
     return peers;
 }
 
-std::map<std::string, std::string> PeerTable::nearestPeers(const std::string &region,
-                                                           std::size_t maxCount, Time now)
+std::string PeerTable::gossipAddressOf(const std::string &vm) const
 {
-    std::vector<const Heartbeat *> peers = reachable(now);
-    if (!peers.empty())
-        std::rotate(peers.begin(),
-                    peers.begin() + static_cast<std::ptrdiff_t>(m_rotation++ % peers.size()),
-                    peers.end());
-    std::stable_partition(peers.begin(), peers.end(),
-                          [&](const Heartbeat *peer) { return peer->region == region; });
-    std::map<std::string, std::string> chosen;
-    for (const Heartbeat *peer : peers) {
-        if (chosen.size() < maxCount)
-            chosen[peer->vm] = peer->gossipAddress;
-    }
-    return chosen;
+    const auto peer = m_peers.find(vm);
+    if (peer != m_peers.end())
+        return peer->second.heartbeat.gossipAddress;
+    const auto registered = m_registered.find(vm);
+    return registered == m_registered.end() ? std::string() : registered->second.gossipAddress;
 }
 
 std::vector<std::string> PeerTable::gossipAddresses() const
 {
     std::set<std::string> addresses;
-    for (const auto &[vm, address] : m_registered)
-        addresses.insert(address);
+    for (const auto &[vm, registered] : m_registered)
+        addresses.insert(registered.gossipAddress);
     for (const auto &[vm, peer] : m_peers)
         addresses.insert(peer.heartbeat.gossipAddress);
     // Introduced addresses are needed only while the list of registered VMs is not available.
@@ -120,7 +114,7 @@
 std::size_t PeerTable::knownVmCount() const
 {
     std::set<std::string> vms{ m_self };
-    for (const auto &[vm, address] : m_registered)
+    for (const auto &[vm, registered] : m_registered)
         vms.insert(vm);
     for (const auto &[vm, peer] : m_peers)
         vms.insert(vm);
--- a/src/decide/PeerTable.h
+++ b/src/decide/PeerTable.h
@@ -32,7 +32,7 @@
     std::vector<std::string> introducedAddresses;   // gossip addresses of a few other VMs
 };
 
-// Asks another VM to lend tokens of quotas.
+// Requests tokens of quotas from another VM.
 struct QuotaLoanRequest
 {
     std::string borrower;                 // name of the VM
@@ -49,6 +49,13 @@
     std::map<std::string, double> tokens; // by organisation
 };
 
+// A VM as registered in the store.
+struct RegisteredVm
+{
+    std::string gossipAddress;
+    std::string region;
+};
+
 // The other VMs of the fleet: those that are registered and those that send heartbeats.
 class PeerTable
 {
@@ -73,8 +80,10 @@
         : m_self(std::move(self))
     {}
 
-    // Replaces the registered VMs: gossip address by VM name.
-    void setRegistered(std::map<std::string, std::string> gossipAddresses, Time now);
+    // Replaces the registered VMs, by name.
+    void setRegistered(std::map<std::string, RegisteredVm> vms, Time now);
+    // The region of each registered VM by its name, including this VM.
+    const std::map<std::string, std::string> &registeredRegions() const { return m_regions; }
     // Returns a registered VM that is gone, if this VM has to remove its registration. Of the VMs
     // that reach each other, the first by name does this.
     std::optional<std::string> vmToDeregister(Time now) const;
@@ -90,10 +99,8 @@
     Duration reachabilityTimeout() const;
     // Last heartbeats of the VMs that are reachable.
     std::vector<const Heartbeat *> reachable(Time now) const;
-    // Gossip addresses, by VM name, of at most maxCount reachable VMs, those of a region first. The
-    // selection rotates from call to call.
-    std::map<std::string, std::string> nearestPeers(const std::string &region, std::size_t maxCount,
-                                                    Time now);
+    // Address of another VM for gossip; empty if the VM is not known.
+    std::string gossipAddressOf(const std::string &vm) const;
     // Addresses to send heartbeats to.
     std::vector<std::string> gossipAddresses() const;
     // Number of VMs that may be serving, including this one, whether or not they are reachable.
@@ -116,10 +123,10 @@
 
     std::string m_self;
     std::map<std::string, Peer> m_peers;
-    std::map<std::string, std::string> m_registered;
+    std::map<std::string, RegisteredVm> m_registered;
+    std::map<std::string, std::string> m_regions; // of the registered VMs, including this one
     std::map<std::string, Time> m_registeredSince;
     std::map<std::string, bool> m_introducedAddresses; // by address
-    std::size_t m_rotation = 0;
 };
 
 // A VM in the directory of entry VMs.
--- a/src/decide/QuotaManager.h
+++ b/src/decide/QuotaManager.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "decide/BorrowedTokens.h"
 #include "decide/PeerTable.h"
+#include "decide/QuotaHolders.h"
 #include "decide/QuotaShare.h"
 
 #include <cstdint>
@@ -21,17 +23,29 @@
     Refused,
 };
 
+// The VMs among which quotas are divided.
+struct QuotaFleet
+{
+    std::map<std::string, std::string> vmRegions; // region of each registered VM, by name
+    std::size_t knownVms = 1; // VMs that may be serving, including this one and unregistered ones
+    std::vector<const Heartbeat *> reachable; // the other VMs that this one reaches
+};
+
 // Manages one VM's shares of the quotas of all organisations: the demand that it reports to other
 // VMs, and the tokens that VMs lend to each other.
+//
+// Holders of an organisation's tokens (see QuotaHolders) lend each other tokens when they run low.
+// The other VMs borrow a token for each request, from a holder in their region if one is reachable.
+// A VM that reaches no holder uses an equal part of the limit, which the holders leave unused.
 class QuotaManager
 {
 public:
     // Demand in requests per second below which a heartbeat omits an organisation.
     static constexpr double minReportedDemand = 0.05;
-    // VMs that receive one request for tokens. A few are enough: under steady load most VMs have
-    // tokens to spare.
+    // Holders that receive one request for tokens from another holder. A few are enough: under
+    // steady load most holders have tokens to spare.
     static constexpr std::size_t maxLenders = 6;
-    // The shortest time between two requests for tokens.
+    // The shortest time between two requests for tokens of a holder.
     static constexpr Duration requestInterval = milliseconds(100);
     // The time between requests for an organisation doubles, up to this limit, while they bring no
     // tokens.
@@ -42,19 +56,32 @@
     // How long a request may wait for a token. Covers a request for tokens, its answer and the time
     // until the request for tokens is sent.
     static constexpr Duration maxWait = milliseconds(150);
-    // Requests of one organisation that may wait at the same time: no more than one loan can bring
-    // tokens for.
+    // Requests of one organisation that may wait at the same time at a holder: no more than one
+    // loan can bring tokens for.
     static constexpr std::size_t maxWaiting = 2;
 
-    explicit QuotaManager(std::string self)
+    // How long a request may wait for a borrowed token: for a holder of the region that does not
+    // answer, and then for one elsewhere.
+    static constexpr Duration maxBorrowerWait = milliseconds(300);
+    // Requests of one organisation that may wait for borrowed tokens at the same time.
+    static constexpr std::size_t maxBorrowerWaiting = 24;
+    // Time after which a borrower requests the tokens from the next holder instead: more than a
+    // round trip between two regions.
+    static constexpr Duration answerTimeout = milliseconds(130);
+    // Holders in a row without tokens after which a borrower backs off.
+    static constexpr int maxRefusals = 3;
+    // Lower limit of the retry delay of a request over the quota.
+    static constexpr Duration minRetryAfter = milliseconds(200);
+
+    explicit QuotaManager(std::string self, std::string region = {})
         : m_self(std::move(self))
+        , m_region(std::move(region))
     {}
 
     // Replaces the limits, by organisation. Organisations that remain keep their tokens.
     void setLimits(const std::map<std::string, QuotaLimit> &limits, Time now);
-    // Recomputes the shares from the demand that the reachable VMs report.
-    void setPeers(std::size_t registeredVms, const std::vector<const Heartbeat *> &reachable,
-                  Time now);
+    // Recomputes the shares from the registered VMs and the demand that the reachable ones report.
+    void setFleet(const QuotaFleet &fleet, Time now);
     // Takes a token of an organisation's quota for a request. Without a token, the request waits if
     // one is expected in time, from the organisation's rate or from VMs that have lent before.
     QuotaDecision admit(const std::string &organisation, std::uint64_t request, Time now);
@@ -66,18 +93,22 @@
     void cancel(std::uint64_t request);
     // Returns the share of an organisation, or null if the organisation has no limit.
     QuotaShare *find(const std::string &organisation);
+    // Time after which a refused request of an organisation may find a token.
+    Duration retryAfter(const std::string &organisation, Time now) const;
 
     // Sets the demands that a periodic heartbeat reports.
     void fillDemands(Heartbeat &heartbeat, Time now);
-    // Returns the request for tokens to send to each lender, if tokens are low and a request for
-    // them is due.
-    std::optional<QuotaLoanRequest> makeRequest(const std::set<std::string> &lenders, Time now);
+    // Returns the requests for tokens to send now, by lender.
+    std::map<std::string, QuotaLoanRequest> makeRequests(Time now);
     // Deducts tokens for another VM. They are gone even if the loan never arrives.
     QuotaLoan lend(const QuotaLoanRequest &loanRequest, Time now);
     // Adds the tokens of a loan. Only the first loan of each requested lender counts.
     void borrow(const QuotaLoan &loan, Time now);
-    // Whether makeRequest() may have tokens to request.
-    bool isRequestDue(Time now) const { return m_isLow && now - m_requestedAt >= requestInterval; }
+    // Whether makeRequests() may have tokens to request.
+    bool isRequestDue(Time now) const
+    {
+        return m_isBorrowingDue || (m_isLow && now - m_requestedAt >= requestInterval);
+    }
 
     // Tokens lent and borrowed since the start.
     double lent() const { return m_lent; }
@@ -90,9 +121,16 @@
             : share(now)
         {}
         QuotaShare share;
+        bool usesShare = true; // a holder, or a VM that reaches no holder
         Time nextRequestAt;
         Duration nextInterval = requestInterval; // doubles while requests bring no tokens
         std::size_t waiting = 0;
+        // The state of a borrower.
+        std::vector<std::string> lenders; // reachable holders, those of the region first
+        std::size_t lender = 0;           // index of the one to ask
+        int refusals = 0;                 // by holders in a row
+        BorrowedTokens borrowed;
+        std::optional<Time> answerDueAt; // of an open request for tokens
     };
     struct WaitingRequest
     {
@@ -100,14 +138,30 @@
         std::string organisation;
         Time until;
     };
-    bool isTokenExpected(const Entry &entry) const;
+    bool isTokenExpected(const Entry &entry, Time now) const;
+    bool tryAcquire(Entry &entry, Time now) const;
+    void updateShare(const std::string &organisation, Entry &entry, const QuotaFleet &fleet,
+                     Time now);
+    // The reachable holders of an organisation, those of this VM's region first.
+    std::vector<std::string> reachableHolders(const std::string &organisation) const;
+    void addHolderRequests(const std::string &organisation, Entry &entry, Time now,
+                           std::map<std::string, QuotaLoanRequest> &requests);
+    void addBorrowerRequest(const std::string &organisation, Entry &entry, Time now,
+                            std::map<std::string, QuotaLoanRequest> &requests);
+    // A holder had no tokens.
+    void handleRefusal(Entry &entry, Time now);
 
     std::string m_self;
+    std::string m_region;
+    QuotaHolders m_holders;
+    std::set<std::string> m_reachable; // names of the other VMs that this one reaches
     std::map<std::string, Entry> m_entries;
     std::deque<WaitingRequest> m_waiting; // oldest first
-    bool m_isLow = false; // tokens of an organisation ran low since the last request
+    bool m_isLow = false; // a holder's tokens of an organisation ran low since the last request
+    bool m_isBorrowingDue = false; // a borrower's request waits for a token not yet requested
     Time m_requestedAt{};
     std::uint64_t m_requestNumber = 0;
+    std::size_t m_rotation = 0; // of the holders that a holder requests tokens from
     // Requests for tokens, by number: when they were sent and which lenders have yet to answer.
     std::map<std::uint64_t, std::pair<Time, std::set<std::string>>> m_openRequests;
     double m_lent = 0;
--- a/src/decide/QuotaShare.cpp
+++ b/src/decide/QuotaShare.cpp
@@ -32,20 +32,26 @@
 void QuotaShare::setDemand(const QuotaDemand &demand, Time now)
 {
     advance(now);
-    m_registeredVms = static_cast<double>(std::max<std::size_t>(1, demand.registeredVms));
-    const auto reachableVms = static_cast<double>(demand.peerDemands.size() + 1);
-    const double reachableFraction = std::min(1.0, reachableVms / m_registeredVms);
+    m_holders = static_cast<double>(std::max<std::size_t>(1, demand.holders));
     const double base = baseDemand();
     const double own = std::min(m_reportedDemand, m_previousReportedDemand) + base;
     const double all = std::accumulate(demand.peerDemands.begin(), demand.peerDemands.end(), own,
                                        [&](double sum, double peer) { return sum + peer + base; });
-    m_rateFraction = all > 0 ? reachableFraction * own / all : 1 / m_registeredVms;
-    m_burstFraction = (m_rateFraction + 1 / m_registeredVms) / 2;
+    m_rateFraction = all > 0 ? demand.reachableFraction * own / all : 1 / m_holders;
+    m_burstFraction = (m_rateFraction + 1 / m_holders) / 2;
     if (!std::exchange(m_hasStarted, true))
-        m_tokens = m_limit.startupTokens / m_registeredVms;
+        m_tokens = m_limit.startupTokens / m_holders;
     m_tokens = std::min(m_tokens, capacity());
 }
 
+void QuotaShare::setFixedFraction(double fraction, Time now)
+{
+    advance(now);
+    m_rateFraction = m_burstFraction = fraction;
+    m_hasStarted = true;
+    m_tokens = fraction > 0 ? std::min(m_tokens, capacity()) : 0;
+}
+
 double QuotaShare::demand(Time now)
 {
     advance(now);
@@ -81,6 +87,19 @@
     return lent;
 }
 
+double QuotaShare::lendToBorrower(double maxTokens, Time now)
+{
+    advance(now);
+    if (!(maxTokens > 0)) // also rejects NaN, which a faulty peer may send
+        return 0;
+    const double requested = std::min(maxTokens, maxTokensPerLoan);
+    m_slowCount += requested;
+    m_fastCount += requested;
+    const double lent = std::floor(std::min(requested, m_tokens));
+    m_tokens -= lent;
+    return lent;
+}
+
 void QuotaShare::borrow(double tokens, Time now)
 {
     advance(now);
--- a/src/decide/QuotaShare.h
+++ b/src/decide/QuotaShare.h
@@ -38,17 +38,20 @@
     }
 };
 
-// The demand of the reachable VMs for one organisation's quota.
+// The demand of the reachable holders of one organisation's tokens.
 struct QuotaDemand
 {
-    std::size_t registeredVms = 1;   // VMs that may be serving, including this one
-    std::vector<double> peerDemands; // requests per second, for each other reachable VM
+    std::size_t holders = 1;         // VMs that may hold tokens, including this one
+    std::vector<double> peerDemands; // requests per second, for each other reachable holder
+    // The fraction of the registered VMs that this VM reaches, including itself. The rest may be
+    // partitioned and use their reserved parts.
+    double reachableFraction = 1;
 };
 
-// One VM's share of an organisation's quota.
+// One holder's share of an organisation's quota.
 //
-// Each VM uses a fraction of the rate equal to its fraction of the total demand. Half of the burst
-// is divided in the same way and half equally, because a VM with few requests sees larger
+// Each holder uses a fraction of the rate equal to its fraction of the total demand. Half of the
+// burst is divided in the same way and half equally, because a VM with few requests sees larger
 // fluctuations relative to its rate. A VM that is not reachable may be partitioned and still
 // serving, so an equal part stays reserved for it. A VM that reaches no other VM therefore uses one
 // such part, and the parts on all sides of a partition add up to one.
@@ -82,11 +85,15 @@
     // that are repeated before the first answers arrive would bring in more than that, and the
     // excess is lost.
     static constexpr double refillTarget = 0.75;
+    // Upper limit of the tokens of one loan to a VM that holds none.
+    static constexpr double maxTokensPerLoan = 32;
 
     explicit QuotaShare(Time now);
 
     void setLimit(const QuotaLimit &limit, Time now);
     void setDemand(const QuotaDemand &demand, Time now);
+    // Sets a fixed fraction of the limit as this VM's share, zero for a VM that holds no tokens.
+    void setFixedFraction(double fraction, Time now);
     // Records a request as demand.
     void recordRequest(Time now);
     // Takes a token for one request. Returns false if there is none.
@@ -98,6 +105,9 @@
     // Deducts up to the given number of tokens for another VM and returns how many. They are gone
     // even if the loan never arrives, so that no token is used twice.
     double lend(double maxTokens, Time now);
+    // Deducts up to the given number of whole tokens for a VM that holds none itself, without
+    // keeping a reserve. The tokens requested count as demand at this holder.
+    double lendToBorrower(double maxTokens, Time now);
     // Adds borrowed tokens, up to this VM's capacity.
     void borrow(double tokens, Time now);
     // Demand at this VM, in requests per second.
@@ -108,26 +118,27 @@
     double reportDemand(Time now);
     // The fraction of the fleet's rate that this VM uses, between 0 and 1.
     double rateFraction() const { return m_rateFraction; }
+    bool isUnlimited() const { return m_limit.rate <= 0; }
     // The time until the next token is available.
     Duration timeToNextToken() const;
 
 private:
     void advance(Time now);
-    double baseDemand() const { return baseDemandFraction * m_limit.rate / m_registeredVms; }
+    double baseDemand() const { return baseDemandFraction * m_limit.rate / m_holders; }
     // The most tokens that this VM may hold.
     double capacity() const { return m_limit.burst * m_burstFraction + spareTokens(); }
     // Tokens that this VM does not lend: at least one, for the next request.
     double lendingReserve() const { return std::max(1.0, capacity() * lowWatermark); }
     double spareTokens() const
     {
-        return std::clamp(overshootFactor * m_limit.windowOvershoot / m_registeredVms,
-                          minSpareTokens, maxSpareTokens);
+        return std::clamp(overshootFactor * m_limit.windowOvershoot / m_holders, minSpareTokens,
+                          maxSpareTokens);
     }
 
     QuotaLimit m_limit;
     double m_rateFraction = 0;
     double m_burstFraction = 0;
-    double m_registeredVms = 1;
+    double m_holders = 1;
     double m_reportedDemand = 0;         // in the last heartbeat
     double m_previousReportedDemand = 0; // in the heartbeat before
     double m_tokens = 0;
--- a/src/edge/EdgeProcess.cpp
+++ b/src/edge/EdgeProcess.cpp
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <csignal>
-#include <set>
 #include <utility>
 
 namespace basildeck {
@@ -89,10 +88,12 @@
               [&self, &quotas](const QuotaLoan &loan) {
                   quotas.borrow(loan, self.m_loop.now());
                   self.m_forwarder.resolveTokenWaits();
+                  self.requestQuotaTokens();
               } });
     if (!self.m_gossip)
         return failure(ErrorKind::InvalidSetting,
                        "address \"" + settings.gossipAddress().toString() + "\" cannot be used");
+    self.m_forwarder.setOnTokensNeeded([&self] { self.requestQuotaTokens(); });
     self.m_forwarder.setOnCrash([&self](const CrashReport &report) { self.recordCrash(report); });
     return process;
 }
@@ -112,23 +113,18 @@
 std::uint64_t EdgeProcess::submit(IncomingRequest request)
 {
     const std::uint64_t id = m_forwarder.submit(std::move(request));
-    if (m_forwarder.quotas().isRequestDue(m_loop.now()))
-        requestQuotaTokens();
+    requestQuotaTokens();
     return id;
 }
 
 void EdgeProcess::requestQuotaTokens()
 {
+    QuotaManager &quotas = m_forwarder.quotas();
     const Time now = m_loop.now();
-    std::set<std::string> names;
-    std::vector<std::string> addresses;
-    for (const auto &[vm, address] :
-         m_peers.nearestPeers(m_settings.region, QuotaManager::maxLenders, now)) {
-        names.insert(vm);
-        addresses.push_back(address);
-    }
-    if (auto loanRequest = m_forwarder.quotas().makeRequest(names, now))
-        m_gossip->requestTokens(std::move(*loanRequest), addresses);
+    if (!quotas.isRequestDue(now))
+        return;
+    for (auto &[lender, loanRequest] : quotas.makeRequests(now))
+        m_gossip->requestTokens(std::move(loanRequest), { m_peers.gossipAddressOf(lender) });
 }
 
 void EdgeProcess::sendControlResponse(const ResponseSink &sink, int status, const std::string &type,
@@ -240,7 +236,8 @@
     m_forwarder.setFleetVmCount(m_peers.knownVmCount());
     m_targets.setStoreReachableFromPeers(m_peers.longestStoreContact(now));
     m_targets.setRegionVmCount(m_peers.peerCountInRegion(m_settings.region) + 1);
-    m_forwarder.quotas().setPeers(m_peers.knownVmCount(), m_peers.reachable(now), now);
+    m_forwarder.quotas().setFleet(
+            { m_peers.registeredRegions(), m_peers.knownVmCount(), m_peers.reachable(now) }, now);
     if (now - m_lastReload > reloadPeriod)
         reloadSettings();
     if (m_shutdownSince)
--- a/src/edge/EdgeProcess.h
+++ b/src/edge/EdgeProcess.h
@@ -62,6 +62,7 @@
     EdgeProcess(const EdgeSettings &settings, const PlatformFormat &format);
     Result<std::unique_ptr<EdgeServer>> makeControlServer(const Address &listenAddress);
     std::uint64_t submit(IncomingRequest request);
+    // Sends the requests for quota tokens that are due.
     void requestQuotaTokens();
     std::uint64_t handleControlRequest(const IncomingRequest &request);
     void sendControlResponse(const ResponseSink &sink, int status, const std::string &type,
--- a/src/edge/FleetView.cpp
+++ b/src/edge/FleetView.cpp
@@ -113,20 +113,24 @@
 
 void FleetView::handleVms()
 {
-    std::map<std::string, std::string> addresses;
+    std::map<std::string, RegisteredVm> vms;
     for (const auto &[name, object] : replica(vmKind)->objects()) {
         const auto gossip = object.content.find("gossip");
+        const auto region = object.content.find("region");
         if (gossip != object.content.end() && gossip->is_string())
-            addresses[name] = gossip->get<std::string>();
+            vms[name] = { gossip->get<std::string>(),
+                          region != object.content.end() && region->is_string()
+                                  ? region->get<std::string>()
+                                  : std::string() };
     }
-    const auto own = addresses.find(m_dependencies.settings.vmName);
-    m_isRegistered = m_isRegistered && own != addresses.end();
+    const auto own = vms.find(m_dependencies.settings.vmName);
+    m_isRegistered = m_isRegistered && own != vms.end();
     const bool isRegistrationCurrent
-            = own != addresses.end()
-              && own->second == m_dependencies.settings.gossipAddress().toString();
+            = own != vms.end()
+              && own->second.gossipAddress == m_dependencies.settings.gossipAddress().toString();
     if (!isRegistrationCurrent && !m_isDeregistering)
         registerSelf();
-    m_dependencies.peers.setRegistered(std::move(addresses), m_dependencies.loop.now());
+    m_dependencies.peers.setRegistered(std::move(vms), m_dependencies.loop.now());
     if (!m_isConfigured)
         activateConfig();
 }
--- a/src/edge/Forwarder.cpp
+++ b/src/edge/Forwarder.cpp
@@ -20,7 +20,6 @@
 constexpr Duration quarantineRetryAfter = seconds(2);
 // How often requests that wait for a quota token are checked, in addition to each incoming loan.
 constexpr Duration tokenPollPeriod = milliseconds(20);
-constexpr Duration minQuotaRetryAfter = milliseconds(200);
 
 // Describes the load of each candidate target for the log: requests in flight and allowed, queue
 // length, expected wait and expected run time.
@@ -73,8 +72,12 @@
     , m_settings(settings)
     , m_names(names)
     , m_targets(targets)
-    , m_quotas(settings.vmName)
-    , m_tokenTimer(loop, [this] { resolveTokenWaits(); })
+    , m_quotas(settings.vmName, settings.region)
+    , m_tokenTimer(loop, [this] {
+        resolveTokenWaits();
+        if (m_onTokensNeeded)
+            m_onTokensNeeded();
+    })
 {
     m_targets.setOnUnavailable([this](TargetState &target) { redispatchQueued(target); });
 }
@@ -99,6 +102,11 @@
     m_onCrash = std::move(onCrash);
 }
 
+void Forwarder::setOnTokensNeeded(std::function<void()> onTokensNeeded)
+{
+    m_onTokensNeeded = std::move(onTokensNeeded);
+}
+
 void Forwarder::recordCrash(const CrashReport &report)
 {
     if (m_crashQuarantine.addReport(report, m_loop.now()))
@@ -269,14 +277,12 @@
 void Forwarder::refuseOverQuota(Request &request)
 {
     const Time now = m_loop.now();
-    QuotaShare *quota = m_quotas.find(request.organisation->name);
-    if (quota == nullptr) { // the configuration has changed in the meantime
-        refuse(request, ErrorKind::OverRate, minQuotaRetryAfter);
-        return;
-    }
-    refuse(request, ErrorKind::OverRate, std::max(minQuotaRetryAfter, quota->timeToNextToken()),
-           "quota_part=" + std::to_string(quota->rateFraction()) + " demand_per_s="
-                   + std::to_string(quota->demand(now)) + " vms=" + std::to_string(m_fleetVmCount));
+    const std::string &organisation = request.organisation->name;
+    std::string detail;
+    if (QuotaShare *quota = m_quotas.find(organisation))
+        detail = "quota_part=" + std::to_string(quota->rateFraction()) + " demand_per_s="
+                 + std::to_string(quota->demand(now)) + " vms=" + std::to_string(m_fleetVmCount);
+    refuse(request, ErrorKind::OverRate, m_quotas.retryAfter(organisation, now), detail);
 }
 
 void Forwarder::resolveTokenWaits()
--- a/src/edge/Forwarder.h
+++ b/src/edge/Forwarder.h
@@ -41,6 +41,8 @@
     // Called for each crash detected by this VM, to report it to the other VMs.
     void setOnCrash(std::function<void(const CrashReport &)> onCrash);
     void recordCrash(const CrashReport &report);
+    // Called when requests wait for quota tokens that other VMs could lend.
+    void setOnTokensNeeded(std::function<void()> onTokensNeeded);
 
     // Handles a request. The response may be written before this returns.
     RequestId submit(IncomingRequest incoming);
@@ -117,6 +119,7 @@
     std::size_t m_fleetVmCount = 1;
     CrashQuarantine m_crashQuarantine;
     std::function<void(const CrashReport &)> m_onCrash;
+    std::function<void()> m_onTokensNeeded;
     Metrics m_metrics;
     RequestId m_nextId = 1;
 };
