Cut off endless bytes that are no response; survive malformed datagrams

Cause: a body without signature, a trailer, interim responses and a response to another request were read, and partly kept in memory, until the request's timeout; a response of the store had no limit. A datagram with an implausible length ended the process by std::bad_alloc: only exceptions of the archive were caught.

Change: limits on the bodies of responses that are not passed on, on bytes that an exchange discards, on a field of a trailer and on responses to JsonHttpClient; at most 16 reads in a row from one connection. Datagrams carry a checksum, and any exception of the archive is logged.

--- a/src/edge/Forwarder.h
+++ b/src/edge/Forwarder.h
@@ -25,6 +25,9 @@
     // Responses up to this size are buffered until they are complete, so that a request can be
     // retried if its response is cut off.
     static constexpr std::size_t maxBufferedResponseBytes = 64 * 1024;
+    // Responses that are not passed on, such as ones without a signature, may have a body up to
+    // this size.
+    static constexpr std::size_t maxUnforwardedBodyBytes = 256 * 1024;
     // Time limit for connecting to a target.
     static constexpr Duration connectTimeout = milliseconds(400);
     // Maximum number of targets of each placement group that are checked for eligibility.
--- a/src/edge/ForwarderResponses.cpp
+++ b/src/edge/ForwarderResponses.cpp
@@ -71,6 +71,8 @@
     if (request.response.body.size() > maxBufferedResponseBytes && !request.response.notExecuted
         && isSigned && head.fields.find("content-encoding") == nullptr)
         startStreaming(request);
+    else if (request.response.body.size() > maxUnforwardedBodyBytes)
+        handleExchangeFailure(request, ExchangeFailure::Malformed);
 }
 
 void Forwarder::startStreaming(Request &request)
--- a/src/edge/GossipTask.cpp
+++ b/src/edge/GossipTask.cpp
@@ -1,5 +1,6 @@
 #include "edge/GossipTask.h"
 
+#include "core/Hash.h"
 #include "core/Log.h"
 #include "core/SocketAddress.h"
 
@@ -14,7 +15,9 @@
 
 #include <algorithm>
 #include <array>
+#include <optional>
 #include <sstream>
+#include <string_view>
 
 namespace basildeck {
 
@@ -33,6 +36,29 @@
     TokenLoan,
 };
 
+// Prepends a checksum. Lengths in a damaged message could make the archive allocate any amount of
+// memory.
+std::string withChecksum(const std::string &content)
+{
+    const std::uint64_t checksum = stableHash(content);
+    std::string bytes(sizeof(checksum), '\0');
+    for (std::size_t i = 0; i < sizeof(checksum); ++i)
+        bytes[i] = static_cast<char>(checksum >> (8 * i));
+    return bytes + content;
+}
+
+// Returns the content of a datagram, or nothing if the checksum is wrong.
+std::optional<std::string_view> verifiedContent(std::string_view bytes)
+{
+    std::uint64_t checksum = 0;
+    if (bytes.size() < sizeof(checksum))
+        return std::nullopt;
+    for (std::size_t i = 0; i < sizeof(checksum); ++i)
+        checksum |= static_cast<std::uint64_t>(static_cast<unsigned char>(bytes[i])) << (8 * i);
+    bytes.remove_prefix(sizeof(checksum));
+    return stableHash(bytes) == checksum ? std::optional(bytes) : std::nullopt;
+}
+
 MessageType messageTypeOf(const Heartbeat &)
 {
     return MessageType::Heartbeat;
@@ -166,7 +192,7 @@
         cereal::PortableBinaryOutputArchive archive(out);
         archive(messageTypeOf(message), message);
     }
-    const std::string bytes = out.str();
+    const std::string bytes = withChecksum(out.str());
     for (const std::string &text : addresses) {
         const auto address = Address::parse(text);
         if (!address)
@@ -187,7 +213,7 @@
             return;
         try {
             handleDatagram(std::string(buffer.data(), static_cast<std::size_t>(count)));
-        } catch (const cereal::Exception &error) {
+        } catch (const std::exception &error) {
             BASILDECK_WARNING(logComponent)
                     << "invalid datagram bytes=" << count << " " << error.what();
         }
@@ -196,7 +222,10 @@
 
 void GossipTask::handleDatagram(const std::string &bytes)
 {
-    std::istringstream in(bytes);
+    const auto content = verifiedContent(bytes);
+    if (!content)
+        throw cereal::Exception("wrong checksum");
+    std::istringstream in{ std::string(*content) };
     cereal::PortableBinaryInputArchive archive(in);
     MessageType type{};
     archive(type);
--- a/src/edge/HttpClientConnection.cpp
+++ b/src/edge/HttpClientConnection.cpp
@@ -58,6 +58,7 @@
     m_active = true;
     m_messageComplete = false;
     m_discarding = false;
+    m_discardedBytes = 0;
     m_parser.reset();
     m_parser.expectNoBody(m_exchange.isHeadRequest);
     m_stream->write(m_exchange.request);
@@ -106,7 +107,10 @@
     while (m_active && !bytes.empty()) {
         const std::size_t consumed = m_parser.feed(bytes);
         bytes.remove_prefix(std::min(consumed, bytes.size()));
-        if (m_parser.parseError() != HttpParser::ParseError::None) {
+        if (m_discarding)
+            m_discardedBytes += consumed;
+        if (m_parser.parseError() != HttpParser::ParseError::None
+            || m_discardedBytes > maxDiscardedBytes) {
             fail(ExchangeFailure::Malformed);
             return;
         }
--- a/src/edge/HttpClientConnection.h
+++ b/src/edge/HttpClientConnection.h
@@ -26,6 +26,9 @@
 public:
     // Maximum size of a response head.
     static constexpr std::size_t maxHeadBytes = 64 * 1024;
+    // Maximum size of the interim responses, and responses to other requests, that are discarded
+    // during an exchange.
+    static constexpr std::size_t maxDiscardedBytes = 2 * 1024 * 1024;
 
     struct Exchange
     {
@@ -72,6 +75,7 @@
     bool m_connected = false;
     bool m_reusable = true;
     bool m_discarding = false;
+    std::size_t m_discardedBytes = 0; // during the exchange
     bool m_messageComplete = false;
     Duration m_idleTimeout{ 0 };
 };
--- a/src/edge/HttpParser.cpp
+++ b/src/edge/HttpParser.cpp
@@ -111,6 +111,9 @@
     static State &of(http_parser *parser) { return *static_cast<State *>(parser->data); }
 
     int finishHead();
+    // Returns an error for a field of a trailer that is too large. The fields of a head are limited
+    // together.
+    int checkTrailerField();
     bool hasAmbiguousBodyLength() const;
     bool isHeadTooLarge() const;
 };
@@ -134,6 +137,14 @@
            || head.fields.count("content-length") > 0;
 }
 
+int HttpParser::State::checkTrailerField()
+{
+    if (!inTrailer || name.size() + value.size() <= maxHeadBytes)
+        return 0;
+    parseError = ParseError::HeadTooLarge;
+    return -1;
+}
+
 int HttpParser::State::finishHead()
 {
     finishField();
@@ -193,13 +204,13 @@
         if (self.isReadingValue)
             self.finishField();
         self.name.append(at, length);
-        return 0;
+        return self.checkTrailerField();
     };
     state.settings.on_header_value = [](http_parser *parser, const char *at, std::size_t length) {
         State &self = State::of(parser);
         self.isReadingValue = true;
         self.value.append(at, length);
-        return 0;
+        return self.checkTrailerField();
     };
     state.settings.on_headers_complete
             = [](http_parser *parser) { return State::of(parser).finishHead(); };
--- a/src/edge/JsonHttpClient.cpp
+++ b/src/edge/JsonHttpClient.cpp
@@ -42,6 +42,18 @@
         onResponse(std::move(result));
 }
 
+void JsonHttpClient::addToBody(std::string_view bytes)
+{
+    if (m_response.body.size() + bytes.size() <= maxBodyBytes) {
+        m_response.body.append(bytes);
+        return;
+    }
+    closeConnection();
+    finish(failure(ErrorKind::StoreAnswerLost, m_address.toString()
+                                                       + " sent a response larger than "
+                                                       + std::to_string(maxBodyBytes) + " bytes"));
+}
+
 void JsonHttpClient::call(const Address &address, const std::string &method,
                           const std::string &pathAndQuery, const std::string &body,
                           Duration timeout, ResponseCallback onResponse)
@@ -73,7 +85,7 @@
                   m_response.status = head.status;
                   return true;
               },
-              [this](std::string_view bytes) { m_response.body.append(bytes); },
+              [this](std::string_view bytes) { addToBody(bytes); },
               [this] { finish(std::move(m_response)); },
               [this](ExchangeFailure cause) {
                   const bool wasSent = cause != ExchangeFailure::NotConnected;
--- a/src/edge/JsonHttpClient.h
+++ b/src/edge/JsonHttpClient.h
@@ -24,6 +24,9 @@
     // StoreUnavailable if it was not.
     using ResponseCallback = std::function<void(Result<JsonHttpResponse>)>;
 
+    // Maximum size of a response body.
+    static constexpr std::size_t maxBodyBytes = 32 * 1024 * 1024;
+
     explicit JsonHttpClient(EventLoop &loop);
     ~JsonHttpClient();
 
@@ -35,6 +38,7 @@
     bool isBusy() const { return static_cast<bool>(m_onResponse); }
 
 private:
+    void addToBody(std::string_view bytes);
     void finish(Result<JsonHttpResponse> result);
     void closeConnection();
 
--- a/src/edge/TcpStream.cpp
+++ b/src/edge/TcpStream.cpp
@@ -18,6 +18,8 @@
 constexpr const char *logComponent = "tcp";
 constexpr std::size_t readBufferBytes = 64 * 1024;
 constexpr int listenBacklog = 1024;
+// Reads in a row from one connection, so that a fast sender does not keep the loop from others.
+constexpr int maxReadsInARow = 16;
 constexpr int keepAliveIdleSeconds = 3;
 constexpr int keepAliveIntervalSeconds = 1;
 constexpr int keepAliveProbes = 2;
@@ -200,7 +202,7 @@
 void TcpStream::readAvailable()
 {
     static thread_local std::array<char, readBufferBytes> buffer;
-    while (isOpen() && m_reading) {
+    for (int reads = 0; isOpen() && m_reading && reads < maxReadsInARow; ++reads) {
         const ssize_t count = ::recv(m_descriptor, buffer.data(), buffer.size(), 0);
         if (count < 0 && errno == EINTR)
             continue;
--- /dev/null
+++ b/tests/GossipTaskTest.cpp
@@ -0,0 +1,82 @@
+#include "edge/GossipTask.h"
+
+#include "core/SocketAddress.h"
+#include "standin/RawSocket.h"
+
+#include <doctest/doctest.h>
+
+#include <netinet/in.h>
+#include <random>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace basildeck::test {
+
+namespace {
+
+constexpr const char *ip = "127.0.0.1";
+
+struct Vm
+{
+    Vm(EventLoop &loop, const std::string &name)
+        : peers(name)
+    {
+        settings.vmName = name;
+        settings.ip = ip;
+        settings.firstPeerPort = standin::freePort(ip);
+        task = GossipTask::make(loop, settings, peers,
+                                { [](Heartbeat &) {}, [](Heartbeat &) {},
+                                  [this](const Heartbeat &) { ++heartbeats; },
+                                  [](const QuotaLoanRequest &) { return QuotaLoan(); },
+                                  [](const QuotaLoan &) {} });
+    }
+
+    EdgeSettings settings;
+    PeerTable peers;
+    int heartbeats = 0;
+    std::unique_ptr<GossipTask> task;
+};
+
+void sendDatagram(const Address &address, const std::string &bytes)
+{
+    const int descriptor = socket(AF_INET, SOCK_DGRAM, 0);
+    const sockaddr_in to = toSocketAddress(address);
+    sendto(descriptor, bytes.data(), bytes.size(), 0, reinterpret_cast<const sockaddr *>(&to),
+           sizeof(to));
+    close(descriptor);
+}
+
+} // namespace
+
+TEST_SUITE_BEGIN("gossip");
+
+// One malformed message must not end the process, nor take its memory.
+TEST_CASE("malformed datagrams are ignored")
+{
+    EventLoop loop;
+    Vm receiver(loop, "vm-1");
+    Vm sender(loop, "vm-2");
+    REQUIRE(receiver.task);
+    REQUIRE(sender.task);
+    const Address address = receiver.settings.gossipAddress();
+    std::mt19937 random(1);
+    for (int i = 0; i < 300; ++i) {
+        std::string bytes(std::uniform_int_distribution<std::size_t>(0, 200)(random), '\0');
+        for (char &byte : bytes)
+            byte = static_cast<char>(random());
+        sendDatagram(address, bytes);
+        // The header of an archive, a type, and a text of implausible length.
+        sendDatagram(address, std::string(1, '\1') + std::string(4, '\0')
+                                      + std::string(8, static_cast<char>(0x7f)));
+        uv_run(loop.handle(), UV_RUN_NOWAIT);
+    }
+    sender.peers.setRegistered({ { "vm-1", { address.toString(), "", "" } } }, loop.now());
+    sender.task->sendHeartbeatNow();
+    for (int i = 0; i < 100000 && receiver.heartbeats == 0; ++i)
+        uv_run(loop.handle(), UV_RUN_NOWAIT);
+    CHECK(receiver.heartbeats == 1);
+}
+
+TEST_SUITE_END();
+
+} // namespace basildeck::test
