Large fleets: a few VMs of each region watch the store and relay its changes

Change: RelaySelection ranks the VMs of a region; the first two watch the store, and while no relay can be followed more do so at increasing intervals. ReplicaRelay serves the changes of the replicas since a revision, ReplicaFollower applies them; ObjectReplica keeps a log of changes.

Seen: all tests pass (1 min 55 s beside other work).

--- a/src/decide/PeerTable.cpp
+++ b/src/decide/PeerTable.cpp
@@ -96,6 +96,15 @@
     return registered == m_registered.end() ? std::string() : registered->second.gossipAddress;
 }
 
+std::string PeerTable::relayAddressOf(const std::string &vm) const
+{
+    const auto peer = m_peers.find(vm);
+    if (peer != m_peers.end())
+        return peer->second.heartbeat.relayAddress;
+    const auto registered = m_registered.find(vm);
+    return registered == m_registered.end() ? std::string() : registered->second.relayAddress;
+}
+
 std::vector<std::string> PeerTable::gossipAddresses() const
 {
     std::set<std::string> addresses;
--- a/src/decide/PeerTable.h
+++ b/src/decide/PeerTable.h
@@ -53,6 +53,7 @@
 struct RegisteredVm
 {
     std::string gossipAddress;
+    std::string relayAddress; // for requests of other VMs
     std::string region;
 };
 
@@ -101,6 +102,8 @@
     std::vector<const Heartbeat *> reachable(Time now) const;
     // Address of another VM for gossip; empty if the VM is not known.
     std::string gossipAddressOf(const std::string &vm) const;
+    // Address of another VM for requests; empty if the VM is not known.
+    std::string relayAddressOf(const std::string &vm) const;
     // Addresses to send heartbeats to.
     std::vector<std::string> gossipAddresses() const;
     // Number of VMs that may be serving, including this one, whether or not they are reachable.
--- a/src/edge/EdgeProcess.cpp
+++ b/src/edge/EdgeProcess.cpp
@@ -25,6 +25,9 @@
 // A VM that shuts down accepts connections until callers no longer choose it, but reserves this
 // much of the grace period for ending the remaining requests.
 constexpr Duration shutdownReserve = milliseconds(900);
+// Delay of the heartbeat that announces a change of the store, so that it announces the following
+// ones as well.
+constexpr Duration announceDelay = milliseconds(200);
 constexpr std::string_view snapshotPathPrefix = "/copies/";
 constexpr std::string_view metricsPath = "/metrics";
 
@@ -37,6 +40,10 @@
     , m_forwarder(m_loop, m_settings, m_format.names, m_targets)
     , m_peers(settings.vmName)
     , m_timer(m_loop, [this] { tick(); })
+    , m_announceTimer(m_loop, [this] {
+        m_isAnnouncementDue = false;
+        m_gossip->sendHeartbeatNow();
+    })
 {}
 
 EdgeProcess::~EdgeProcess() = default;
@@ -52,7 +59,10 @@
             FleetView::Dependencies{ self.m_loop, self.m_settings, self.m_format.protocol,
                                      self.m_format.objects, self.m_targets, self.m_forwarder,
                                      self.m_peers },
-            [&self](const FleetConfig &config) { self.m_callerServer->setLimits(config.limits); });
+            FleetView::Callbacks{ [&self](const FleetConfig &config) {
+                                     self.m_callerServer->setLimits(config.limits);
+                                 },
+                                  [&self] { self.announceChange(); } });
     const RequestHandler callerHandler{
         [&self](IncomingRequest request) { return self.submit(std::move(request)); },
         [&self](const ResponseSink &sink, ErrorKind kind) {
@@ -106,10 +116,16 @@
               [this](const ResponseSink &sink, ErrorKind kind) {
                   m_forwarder.refuseUnreadable(sink, kind);
               },
-              [](std::uint64_t) {}, [](std::uint64_t) {} },
+              [this](std::uint64_t id) { m_view->relay().cancel(id); }, [](std::uint64_t) {} },
             maxControlBodyBytes);
 }
 
+void EdgeProcess::announceChange()
+{
+    if (!std::exchange(m_isAnnouncementDue, true))
+        m_announceTimer.startOnce(announceDelay);
+}
+
 std::uint64_t EdgeProcess::submit(IncomingRequest request)
 {
     const std::uint64_t id = m_forwarder.submit(std::move(request));
@@ -148,6 +164,9 @@
     } else if (const auto query = m_format.lookups.parseLookup(target)) {
         ++m_lookupCount;
         sendControlResponse(sink, 200, "application/json", lookupResponse(*query));
+    } else if (target.starts_with(ReplicaRelay::path)) {
+        return m_view->relay().handle(std::string_view(target).substr(ReplicaRelay::path.size()),
+                                      sink);
     } else if (target.starts_with(snapshotPathPrefix)) {
         const std::string snapshot = m_view->snapshotJson(target.substr(snapshotPathPrefix.size()));
         sendControlResponse(sink, snapshot.empty() ? 404 : 200, "application/json", snapshot);
--- a/src/edge/EdgeProcess.h
+++ b/src/edge/EdgeProcess.h
@@ -74,6 +74,8 @@
     void fillHeartbeat(Heartbeat &heartbeat);
     void handleHeartbeat(const Heartbeat &heartbeat);
     void recordCrash(const CrashReport &report);
+    // Tells the other VMs soon that this relay has new changes of the store.
+    void announceChange();
     void reloadSettings();
     void beginShutdown();
     void continueShutdown();
@@ -90,12 +92,14 @@
     std::unique_ptr<EdgeServer> m_callerServer;
     std::vector<std::unique_ptr<EdgeServer>> m_controlServers;
     Timer m_timer;
+    Timer m_announceTimer;
     std::unique_ptr<SignalWatcher> m_terminateWatcher;
     std::unique_ptr<SignalWatcher> m_interruptWatcher;
     std::unique_ptr<SignalWatcher> m_hangUpWatcher;
     std::function<std::optional<EdgeSettings>()> m_loadSettings;
     std::vector<std::pair<CrashReport, Time>> m_recentCrashes;
     std::optional<Time> m_shutdownSince;
+    bool m_isAnnouncementDue = false;
     bool m_hasStoppedAccepting = false;
     bool m_hasAbortedRequests = false;
     bool m_isDeregistered = false;
--- a/src/edge/FleetView.cpp
+++ b/src/edge/FleetView.cpp
@@ -17,26 +17,40 @@
 constexpr int statusCreated = 201;
 constexpr int statusConflict = 409;
 
+// Returns an empty text if the field is missing or not a text.
+std::string textField(const nlohmann::json &object, const char *name)
+{
+    const auto field = object.find(name);
+    return field != object.end() && field->is_string() ? field->get<std::string>() : std::string();
+}
+
 } // namespace
 
-FleetView::FleetView(Dependencies dependencies, std::function<void(const FleetConfig &)> onConfig)
+FleetView::FleetView(Dependencies dependencies, Callbacks callbacks)
     : m_dependencies(dependencies)
-    , m_onConfig(std::move(onConfig))
+    , m_callbacks(std::move(callbacks))
+    , m_relaySelection(dependencies.settings.vmName, dependencies.settings.region)
+    , m_relay(dependencies.loop, m_replicas)
+    , m_follower(
+              dependencies.loop, m_relaySelection, m_replicas,
+              { [this](const std::string &vm) { return m_dependencies.peers.relayAddressOf(vm); },
+                [this] { updateRole(); } })
     , m_registrationClient(dependencies.loop)
     , m_snapshotClient(dependencies.loop)
     , m_snapshotTimer(dependencies.loop, [this] { fetchSnapshot(); })
 {
-    const auto reachable = [this](bool) { updateStoreReachability(); };
+    const auto reachable = [this](bool) { m_dependencies.loop.defer([this] { updateRole(); }); };
+    const auto batch = [this] { handleBatch(); };
     m_replicas.push_back(makeReplica(dependencies.format.configKind,
                                      { [this](const StoredObject &object) { handleConfig(object); },
-                                       [](const std::string &) {}, [] {}, reachable }));
+                                       [](const std::string &) {}, batch, reachable }));
     m_replicas.push_back(makeReplica(dependencies.format.targetKind,
                                      { [this](const StoredObject &object) { handleTarget(object); },
                                        [this](const std::string &name) {
                                            m_dependencies.targets.remove(name,
                                                                          m_dependencies.loop.now());
                                        },
-                                       [] {}, reachable },
+                                       batch, reachable },
                                      targetWatchDelay));
     m_replicas.push_back(makeReplica(
             dependencies.format.evacuationKind,
@@ -46,10 +60,14 @@
               [this](const std::string &name) {
                   m_dependencies.targets.setEvacuated(name, false, m_dependencies.loop.now());
               },
-              [] {}, reachable }));
+              batch, reachable }));
     m_replicas.push_back(
             makeReplica(vmKind, { [](const StoredObject &) {}, [](const std::string &) {},
-                                  [this] { handleVms(); }, reachable }));
+                                  [this] {
+                                      handleVms();
+                                      handleBatch();
+                                  },
+                                  reachable }));
 }
 
 FleetView::~FleetView() = default;
@@ -65,11 +83,47 @@
 
 void FleetView::start()
 {
-    for (const auto &replica : m_replicas)
-        replica->start();
+    // The other kinds follow once the role of this VM is decided.
+    replica(vmKind)->start();
     m_snapshotTimer.startRepeating(snapshotCheckPeriod);
 }
 
+void FleetView::handleBatch()
+{
+    m_relay.publish();
+    if (m_relay.isServing() && !m_relaySelection.relays().empty())
+        m_callbacks.onRelayChanged();
+}
+
+bool FleetView::isStoreReachedDirectly() const
+{
+    return std::all_of(m_replicas.begin(), m_replicas.end(),
+                       [](const auto &replica) { return replica->isReachable(); });
+}
+
+void FleetView::updateRole()
+{
+    const ObjectReplica &vms = *replica(vmKind);
+    if (m_isDeregistering || vms.revision() == 0)
+        return;
+    const Time now = m_dependencies.loop.now();
+    m_relaySelection.setVms(m_dependencies.peers.registeredRegions());
+    if (!m_hasRole) {
+        m_listedAt = m_listedAt.value_or(now);
+        const bool isListed = vms.objects().contains(m_dependencies.settings.vmName);
+        if (!isListed && now - *m_listedAt < registrationSettleTime)
+            return;
+        m_hasRole = true;
+    }
+    const bool isWatching = m_relaySelection.isWatching();
+    for (const auto &replica : m_replicas)
+        isWatching ? replica->start() : replica->stop();
+    const bool isDirect = isWatching && isStoreReachedDirectly();
+    m_relay.setServing(isDirect);
+    m_follower.setActive(!isDirect && !m_relaySelection.relays().empty());
+    updateStoreReachability();
+}
+
 void FleetView::handleConfig(const StoredObject &object)
 {
     if (object.name != m_dependencies.format.configName)
@@ -91,7 +145,7 @@
         return;
     m_dependencies.targets.setServices(m_routing->config());
     m_dependencies.forwarder.setRouting(m_routing);
-    m_onConfig(m_routing->config());
+    m_callbacks.onConfig(m_routing->config());
     m_isConfigured = true;
     BASILDECK_INFO(logComponent) << "configuration activated revision=" << m_routing->revision()
                                  << " routes=" << m_routing->config().routes.size()
@@ -116,12 +170,9 @@
     std::map<std::string, RegisteredVm> vms;
     for (const auto &[name, object] : replica(vmKind)->objects()) {
         const auto gossip = object.content.find("gossip");
-        const auto region = object.content.find("region");
         if (gossip != object.content.end() && gossip->is_string())
-            vms[name] = { gossip->get<std::string>(),
-                          region != object.content.end() && region->is_string()
-                                  ? region->get<std::string>()
-                                  : std::string() };
+            vms[name] = { gossip->get<std::string>(), textField(object.content, "relay"),
+                          textField(object.content, "region") };
     }
     const auto own = vms.find(m_dependencies.settings.vmName);
     m_isRegistered = m_isRegistered && own != vms.end();
@@ -131,6 +182,7 @@
     if (!isRegistrationCurrent && !m_isDeregistering)
         registerSelf();
     m_dependencies.peers.setRegistered(std::move(vms), m_dependencies.loop.now());
+    m_dependencies.loop.defer([this] { updateRole(); });
     if (!m_isConfigured)
         activateConfig();
 }
@@ -141,6 +193,7 @@
         return;
     const nlohmann::json content = {
         { "gossip", m_dependencies.settings.gossipAddress().toString() },
+        { "relay", m_dependencies.settings.relayAddress().toString() },
         { "region", m_dependencies.settings.region },
     };
     const std::string body
@@ -177,7 +230,8 @@
 {
     const auto lostVm = m_dependencies.peers.vmToDeregister(m_dependencies.loop.now());
     const ObjectReplica &vms = *replica(vmKind);
-    if (!lostVm || m_registrationClient.isBusy() || !vms.isReachable())
+    const bool isVmListCurrent = vms.isReachable() || m_follower.isFollowing();
+    if (!lostVm || m_registrationClient.isBusy() || !isVmListCurrent)
         return;
     const auto object = vms.objects().find(*lostVm);
     if (object == vms.objects().end())
@@ -199,6 +253,7 @@
 {
     m_isDeregistering = true;
     m_snapshotTimer.stop();
+    m_relay.setServing(false);
     for (const auto &replica : m_replicas) {
         if (replica->kind() == vmKind)
             replica->stop();
@@ -225,9 +280,8 @@
 
 void FleetView::updateStoreReachability()
 {
-    const bool allReached = std::all_of(m_replicas.begin(), m_replicas.end(),
-                                        [](const auto &r) { return r->isReachable(); });
-    m_dependencies.targets.setStoreReachable(allReached, m_dependencies.loop.now());
+    m_dependencies.targets.setStoreReachable(isStoreReachedDirectly() || m_follower.isFollowing(),
+                                             m_dependencies.loop.now());
 }
 
 std::map<std::string, std::uint64_t> FleetView::revisions() const
@@ -261,7 +315,9 @@
 
 void FleetView::fetchSnapshot()
 {
-    if (!m_isRegistered && !m_isDeregistering && replica(vmKind)->isReachable())
+    updateRole();
+    const bool isVmListCurrent = replica(vmKind)->isReachable() || m_follower.isFollowing();
+    if (!m_isRegistered && !m_isDeregistering && isVmListCurrent)
         handleVms();
     if (!m_isDeregistering)
         deregisterLostVm();
@@ -276,7 +332,8 @@
             continue;
         }
         const Time behindSince = m_behindSince.try_emplace(replica->kind(), now).first->second;
-        if (replica->isReachable() && now - behindSince < maxReplicaLag)
+        const bool seemsCurrent = replica->isReachable() || m_follower.isFollowing();
+        if (seemsCurrent && now - behindSince < maxReplicaLag)
             continue;
         const auto address = Address::parse(peer->relayAddress);
         if (!address)
@@ -305,7 +362,11 @@
             objects[name]
                     = { name, object.at("revision").get<std::uint64_t>(), object.at("content") };
         const auto revision = snapshot.at("revision").get<std::uint64_t>();
-        if (replica(kind)->adoptSnapshot(std::move(objects), revision))
+        const bool wasFollowing = m_follower.isFollowing();
+        const bool adopted = replica(kind)->adoptSnapshot(std::move(objects), revision);
+        if (adopted && wasFollowing)
+            m_follower.skipRelay();
+        if (adopted)
             BASILDECK_INFO(logComponent) << "adopted a snapshot from another VM kind=" << kind
                                          << " revision=" << revision;
     } catch (const nlohmann::json::exception &error) {
--- a/src/edge/FleetView.h
+++ b/src/edge/FleetView.h
@@ -4,16 +4,21 @@
 #include "edge/FleetObjects.h"
 #include "edge/Forwarder.h"
 #include "edge/ObjectReplica.h"
+#include "edge/ReplicaFollower.h"
+#include "edge/ReplicaRelay.h"
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace basildeck {
 
 // This VM's view of the fleet, replicated from the store: configuration, targets, evacuations and
-// VMs. While the store is unreachable, newer snapshots are fetched from VMs that can reach it.
+// VMs. In a large fleet most VMs receive the changes from the few that watch the store (see
+// RelaySelection). While the store is unreachable, newer snapshots are fetched from VMs that can
+// reach it.
 class FleetView
 {
 public:
@@ -27,6 +32,9 @@
     // How long another VM may be ahead before this VM fetches its snapshot although the store seems
     // reachable. Longer than a watch takes to report a change.
     static constexpr Duration maxReplicaLag = milliseconds(1200);
+    // How long a VM that is not registered yet waits for the registrations of VMs that start at the
+    // same time, before it decides whether it watches the store.
+    static constexpr Duration registrationSettleTime = milliseconds(1000);
 
     struct Dependencies
     {
@@ -39,7 +47,14 @@
         PeerTable &peers;
     };
 
-    FleetView(Dependencies dependencies, std::function<void(const FleetConfig &)> onConfig);
+    struct Callbacks
+    {
+        std::function<void(const FleetConfig &)> onConfig;
+        // A relay has new changes that VMs which follow another relay may lack.
+        std::function<void()> onRelayChanged;
+    };
+
+    FleetView(Dependencies dependencies, Callbacks callbacks);
     ~FleetView();
 
     void start();
@@ -52,6 +67,8 @@
     std::uint64_t storeCallCount() const;
     // The replica of a kind as JSON for another VM; empty if there is none.
     std::string snapshotJson(const std::string &kind) const;
+    // Serves the changes of the replicas to VMs that follow this one.
+    ReplicaRelay &relay() { return m_relay; }
 
 private:
     void handleConfig(const StoredObject &object);
@@ -59,6 +76,10 @@
     void handleTarget(const StoredObject &object);
     void handleVms();
     void updateStoreReachability();
+    // Decides whether this VM watches the store or follows a relay.
+    void updateRole();
+    void handleBatch();
+    bool isStoreReachedDirectly() const;
     void fetchSnapshot();
     void handleSnapshot(const std::string &kind, const Result<JsonHttpResponse> &response);
     void registerSelf();
@@ -69,13 +90,18 @@
     ObjectReplica *replica(const std::string &kind) const;
 
     Dependencies m_dependencies;
-    std::function<void(const FleetConfig &)> m_onConfig;
+    Callbacks m_callbacks;
     std::vector<std::unique_ptr<ObjectReplica>> m_replicas;
+    RelaySelection m_relaySelection;
+    ReplicaRelay m_relay;
+    ReplicaFollower m_follower;
     std::shared_ptr<RoutingTable> m_routing;
     JsonHttpClient m_registrationClient;
     JsonHttpClient m_snapshotClient;
     Timer m_snapshotTimer;
     std::map<std::string, Time> m_behindSince; // by kind
+    std::optional<Time> m_listedAt;            // when the registered VMs were known first
+    bool m_hasRole = false;
     bool m_isConfigured = false;
     bool m_isRegistered = false;
     bool m_isDeregistering = false;
--- a/src/edge/ObjectReplica.cpp
+++ b/src/edge/ObjectReplica.cpp
@@ -28,13 +28,19 @@
 
 void ObjectReplica::start()
 {
-    list();
+    if (std::exchange(m_isWatching, true))
+        return;
+    m_needsFullList = m_needsFullList && m_revision == 0;
+    m_needsFullList ? list() : watch();
 }
 
 void ObjectReplica::stop()
 {
+    m_isWatching = false;
     m_retryTimer.stop();
     m_client.cancel();
+    m_listContinuation.clear();
+    setReachable(false, "no longer watched");
 }
 
 void ObjectReplica::setReachable(bool reachable, const std::string &reason)
@@ -100,27 +106,56 @@
         m_revision = m_listRevision;
         replaceAll(std::exchange(m_listed, {}));
     }
-    watch();
+    if (m_isWatching)
+        watch();
 }
 
 void ObjectReplica::replaceAll(std::map<std::string, StoredObject> objects)
 {
     const auto before = std::exchange(m_objects, std::move(objects));
+    const bool isFirst = m_logStart == 0;
     for (const auto &[name, object] : before) {
         if (m_objects.contains(name))
             continue;
         m_lastChangeRevision = m_revision; // upper bound: the revision of the deletion is unknown
+        logChange({ object, true }, m_revision);
         m_callbacks.onDeleted(name);
     }
     for (const auto &[name, object] : m_objects) {
         m_lastChangeRevision = std::max(m_lastChangeRevision, object.revision);
         const auto old = before.find(name);
-        if (old == before.end() || old->second.revision != object.revision)
-            m_callbacks.onStored(object);
+        if (old != before.end() && old->second.revision == object.revision)
+            continue;
+        if (!isFirst)
+            logChange({ object, false }, m_revision);
+        m_callbacks.onStored(object);
     }
+    if (isFirst)
+        m_logStart = m_revision;
     m_callbacks.onBatchApplied();
 }
 
+void ObjectReplica::logChange(ObjectChange change, std::uint64_t batchRevision)
+{
+    m_log.push_back({ batchRevision, std::move(change) });
+    while (m_log.size() > maxLoggedChanges) {
+        m_logStart = m_log.front().revision;
+        m_log.pop_front();
+    }
+}
+
+std::optional<std::vector<ObjectChange>> ObjectReplica::changesSince(std::uint64_t revision) const
+{
+    if (m_logStart == 0 || revision < m_logStart)
+        return std::nullopt;
+    std::vector<ObjectChange> changes;
+    for (const LoggedChange &logged : m_log) {
+        if (logged.revision > revision)
+            changes.push_back(logged.change);
+    }
+    return changes;
+}
+
 bool ObjectReplica::adoptSnapshot(std::map<std::string, StoredObject> objects,
                                   std::uint64_t revision)
 {
@@ -131,6 +166,19 @@
     return true;
 }
 
+void ObjectReplica::adoptChanges(const std::vector<ObjectChange> &changes, std::uint64_t revision)
+{
+    if (revision <= m_revision)
+        return;
+    for (const ObjectChange &change : changes)
+        apply(change, revision);
+    m_revision = revision;
+    if (changes.empty())
+        return;
+    m_lastChangeRevision = m_revision;
+    m_callbacks.onBatchApplied();
+}
+
 void ObjectReplica::watch()
 {
     ++m_callCount;
@@ -172,7 +220,7 @@
         return;
     }
     for (const ObjectChange &change : changes.value().changes)
-        apply(change);
+        apply(change, changes.value().storeRevision);
     m_revision = changes.value().storeRevision;
     if (changes.value().changes.empty()) {
         watch();
@@ -180,10 +228,11 @@
     }
     m_lastChangeRevision = m_revision;
     m_callbacks.onBatchApplied();
-    m_retryTimer.startOnce(m_watchDelay);
+    if (m_isWatching)
+        m_retryTimer.startOnce(m_watchDelay);
 }
 
-void ObjectReplica::apply(const ObjectChange &change)
+void ObjectReplica::apply(const ObjectChange &change, std::uint64_t batchRevision)
 {
     const std::string &name = change.object.name;
     const auto known = m_objects.find(name);
@@ -192,12 +241,14 @@
         if (known == m_objects.end() || known->second.revision > change.object.revision)
             return;
         m_objects.erase(known);
+        logChange(change, batchRevision);
         m_callbacks.onDeleted(name);
         return;
     }
     if (known != m_objects.end() && known->second.revision >= change.object.revision)
         return;
     m_objects[name] = change.object;
+    logChange(change, batchRevision);
     m_callbacks.onStored(change.object);
 }
 
--- /dev/null
+++ b/src/edge/ReplicaRelay.cpp
@@ -0,0 +1,224 @@
+#include "edge/ReplicaRelay.h"
+
+#include "core/Log.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace basildeck {
+
+namespace {
+
+constexpr const char *logComponent = "relay";
+constexpr std::string_view waitKey = "wait_ms";
+constexpr Duration timeoutCheckPeriod = milliseconds(100);
+
+using nlohmann::json;
+
+std::uint64_t parseNumber(std::string_view text)
+{
+    std::uint64_t number = 0;
+    std::from_chars(text.data(), text.data() + text.size(), number);
+    return number;
+}
+
+void send(const ResponseSink &sink, const std::string &status, const std::string &body)
+{
+    sink.head("HTTP/1.1 " + status + "\r\nContent-Type: application/json\r\nContent-Length: "
+              + std::to_string(body.size()) + "\r\n");
+    sink.body(body);
+    sink.finish(false);
+}
+
+json toJson(const StoredObject &object)
+{
+    return { { "name", object.name },
+             { "revision", object.revision },
+             { "content", object.content } };
+}
+
+StoredObject toObject(const json &object)
+{
+    return { object.at("name").get<std::string>(), object.at("revision").get<std::uint64_t>(),
+             object.at("content") };
+}
+
+json describe(const ObjectReplica &replica, std::uint64_t since)
+{
+    json kind{ { "revision", replica.revision() } };
+    if (const auto changes = replica.changesSince(since)) {
+        kind["changes"] = json::array();
+        for (const ObjectChange &change : *changes) {
+            json entry = toJson(change.object);
+            entry["deleted"] = change.deleted;
+            kind["changes"].push_back(std::move(entry));
+        }
+        return kind;
+    }
+    kind["objects"] = json::array();
+    for (const auto &[name, object] : replica.objects())
+        kind["objects"].push_back(toJson(object));
+    return kind;
+}
+
+void applyKind(const json &kind, ObjectReplica &replica)
+{
+    const auto revision = kind.at("revision").get<std::uint64_t>();
+    if (kind.contains("objects")) {
+        std::map<std::string, StoredObject> objects;
+        for (const json &entry : kind.at("objects")) {
+            StoredObject object = toObject(entry);
+            objects[object.name] = std::move(object);
+        }
+        if (replica.adoptSnapshot(std::move(objects), revision))
+            BASILDECK_INFO(logComponent)
+                    << "adopted a snapshot from a relay kind=" << replica.kind()
+                    << " revision=" << revision;
+        return;
+    }
+    std::vector<ObjectChange> changes;
+    for (const json &entry : kind.at("changes"))
+        changes.push_back({ toObject(entry), entry.at("deleted").get<bool>() });
+    replica.adoptChanges(changes, revision);
+}
+
+} // namespace
+
+ReplicaRelay::ReplicaRelay(EventLoop &loop,
+                           const std::vector<std::unique_ptr<ObjectReplica>> &replicas)
+    : m_loop(loop)
+    , m_replicas(replicas)
+    , m_timer(loop, [this] { handleTimeouts(); })
+{}
+
+std::string ReplicaRelay::requestPath(const std::vector<std::unique_ptr<ObjectReplica>> &replicas,
+                                      milliseconds wait)
+{
+    std::string text
+            = std::string(path) + std::string(waitKey) + "=" + std::to_string(wait.count());
+    for (const auto &replica : replicas)
+        text += "&" + replica->kind() + "=" + std::to_string(replica->revision());
+    return text;
+}
+
+void ReplicaRelay::setServing(bool serving)
+{
+    if (std::exchange(m_isServing, serving) == serving)
+        return;
+    BASILDECK_INFO(logComponent) << (serving ? "serving followers" : "not serving followers")
+                                 << " waiting=" << m_waiting.size();
+    if (serving)
+        return;
+    for (const auto &[id, waiting] : std::exchange(m_waiting, {}))
+        refuse(waiting.sink);
+}
+
+ReplicaRelay::RequestId ReplicaRelay::handle(std::string_view query, const ResponseSink &sink)
+{
+    if (!m_isServing) {
+        refuse(sink);
+        return 0;
+    }
+    Waiting waiting{ {}, sink, m_loop.now() };
+    while (!query.empty()) {
+        const std::size_t end = std::min(query.find('&'), query.size());
+        const std::string_view parameter = query.substr(0, end);
+        query.remove_prefix(std::min(end + 1, query.size()));
+        const std::size_t equals = std::min(parameter.find('='), parameter.size() - 1);
+        const std::string_view key = parameter.substr(0, equals);
+        const std::uint64_t number = parseNumber(parameter.substr(equals + 1));
+        if (key == waitKey)
+            waiting.until += std::min<Duration>(
+                    maxWait,
+                    milliseconds(std::min<std::uint64_t>(number, maxWait / milliseconds(1))));
+        else
+            waiting.revisions[std::string(key)] = number;
+    }
+    if (waiting.until <= m_loop.now() || hasChanges(waiting.revisions)) {
+        respond(waiting.revisions, sink);
+        return 0;
+    }
+    const RequestId id = m_nextId++;
+    m_waiting.emplace(id, std::move(waiting));
+    m_timer.startOnce(timeoutCheckPeriod);
+    return id;
+}
+
+void ReplicaRelay::cancel(RequestId id)
+{
+    m_waiting.erase(id);
+}
+
+bool ReplicaRelay::hasChanges(const std::map<std::string, std::uint64_t> &revisions) const
+{
+    return std::any_of(m_replicas.begin(), m_replicas.end(), [&](const auto &replica) {
+        const auto known = revisions.find(replica->kind());
+        return known != revisions.end() && replica->hasChangesSince(known->second);
+    });
+}
+
+void ReplicaRelay::publish()
+{
+    for (auto entry = m_waiting.begin(); entry != m_waiting.end();) {
+        if (!hasChanges(entry->second.revisions)) {
+            ++entry;
+            continue;
+        }
+        const Waiting waiting = std::move(entry->second);
+        entry = m_waiting.erase(entry);
+        respond(waiting.revisions, waiting.sink);
+    }
+}
+
+void ReplicaRelay::handleTimeouts()
+{
+    const Time now = m_loop.now();
+    for (auto entry = m_waiting.begin(); entry != m_waiting.end();) {
+        if (now < entry->second.until) {
+            ++entry;
+            continue;
+        }
+        const Waiting waiting = std::move(entry->second);
+        entry = m_waiting.erase(entry);
+        respond(waiting.revisions, waiting.sink);
+    }
+    if (!m_waiting.empty())
+        m_timer.startOnce(timeoutCheckPeriod);
+}
+
+void ReplicaRelay::respond(const std::map<std::string, std::uint64_t> &revisions,
+                           const ResponseSink &sink)
+{
+    json response = json::object();
+    for (const auto &replica : m_replicas) {
+        const auto known = revisions.find(replica->kind());
+        if (known != revisions.end() && replica->revision() > known->second)
+            response[replica->kind()] = describe(*replica, known->second);
+    }
+    send(sink, "200 OK", response.dump(-1, ' ', false, json::error_handler_t::replace));
+}
+
+void ReplicaRelay::refuse(const ResponseSink &sink)
+{
+    send(sink, "503 Service Unavailable", "{}");
+}
+
+bool ReplicaRelay::apply(const std::string &body,
+                         const std::vector<std::unique_ptr<ObjectReplica>> &replicas)
+{
+    try {
+        const json response = json::parse(body);
+        for (const auto &replica : replicas) {
+            const auto kind = response.find(replica->kind());
+            if (kind != response.end())
+                applyKind(*kind, *replica);
+        }
+        return true;
+    } catch (const json::exception &error) {
+        BASILDECK_WARNING(logComponent) << "invalid changes from a relay: " << error.what();
+        return false;
+    }
+}
+
+} // namespace basildeck
--- /dev/null
+++ b/src/edge/ReplicaRelay.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "core/EventLoop.h"
+#include "edge/ForwardedRequest.h"
+#include "edge/ObjectReplica.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace basildeck {
+
+// Serves the changes of this VM's replicas to the VMs that do not watch the store themselves.
+//
+// A follower names the revision of each of its replicas. The response is sent when one of the kinds
+// has changed since then, or after the time that the follower is willing to wait.
+class ReplicaRelay
+{
+public:
+    using RequestId = std::uint64_t;
+
+    // Longest time that a follower may wait for a change.
+    static constexpr Duration maxWait = seconds(2);
+    // The path of requests. The query has "wait_ms" and, for each kind, its name and revision.
+    static constexpr std::string_view path = "/changes?";
+
+    // The replicas must outlive the relay.
+    ReplicaRelay(EventLoop &loop, const std::vector<std::unique_ptr<ObjectReplica>> &replicas);
+
+    // Whether requests are served, or refused because this VM does not reach the store.
+    void setServing(bool serving);
+    bool isServing() const { return m_isServing; }
+    // Returns the id of a request that waits, or 0 if the response was sent.
+    RequestId handle(std::string_view query, const ResponseSink &sink);
+    // The follower has disconnected: its sink is no longer used.
+    void cancel(RequestId id);
+    // Responds to the followers that wait for changes. Called after each change.
+    void publish();
+
+    // The path and query of a request for changes.
+    static std::string requestPath(const std::vector<std::unique_ptr<ObjectReplica>> &replicas,
+                                   milliseconds wait);
+    // Applies a response to the replicas of a follower. Returns false if it is invalid.
+    static bool apply(const std::string &body,
+                      const std::vector<std::unique_ptr<ObjectReplica>> &replicas);
+
+private:
+    struct Waiting
+    {
+        std::map<std::string, std::uint64_t> revisions; // of the follower, by kind
+        ResponseSink sink;
+        Time until;
+    };
+    bool hasChanges(const std::map<std::string, std::uint64_t> &revisions) const;
+    void respond(const std::map<std::string, std::uint64_t> &revisions, const ResponseSink &sink);
+    static void refuse(const ResponseSink &sink);
+    void handleTimeouts();
+
+    EventLoop &m_loop;
+    const std::vector<std::unique_ptr<ObjectReplica>> &m_replicas;
+    Timer m_timer; // active while followers wait
+    bool m_isServing = false;
+    std::map<RequestId, Waiting> m_waiting;
+    RequestId m_nextId = 1;
+};
+
+} // namespace basildeck
--- /dev/null
+++ b/tests/ReplicaRelayTest.cpp
@@ -0,0 +1,179 @@
+#include "edge/ReplicaRelay.h"
+
+#include "platform/PlatformFormat.h"
+
+#include <doctest/doctest.h>
+
+namespace basildeck::test {
+
+namespace {
+
+// The replicas of one VM, without a store.
+struct Vm
+{
+    explicit Vm(EventLoop &loop)
+        : protocol(platform::objectProtocol())
+        , relay(loop, replicas)
+    {
+        replicas.push_back(std::make_unique<ObjectReplica>(
+                loop, protocol, Address{ "127.0.0.1", 1 }, "servers",
+                ObjectReplica::Callbacks{
+                        [this](const StoredObject &object) { events += "+" + object.name + " "; },
+                        [this](const std::string &name) { events += "-" + name + " "; },
+                        [this] { relay.publish(); }, [](bool) {} }));
+    }
+
+    ObjectReplica &servers() { return *replicas.front(); }
+
+    ObjectProtocol protocol;
+    std::vector<std::unique_ptr<ObjectReplica>> replicas;
+    ReplicaRelay relay;
+    std::string events;
+};
+
+// The response to one request.
+struct Response
+{
+    ResponseSink sink()
+    {
+        return { [this](const std::string &text) { head = text; },
+                 [this](std::string_view bytes) { body += bytes; },
+                 [this](bool) { isComplete = true; }, [] {}, [] { return false; } };
+    }
+
+    std::string head;
+    std::string body;
+    bool isComplete = false;
+};
+
+std::string query(const Vm &follower, milliseconds wait)
+{
+    return ReplicaRelay::requestPath(follower.replicas, wait).substr(ReplicaRelay::path.size());
+}
+
+ObjectChange stored(const std::string &name, std::uint64_t revision)
+{
+    return { { name, revision, nlohmann::json{ { "slots", revision } } }, false };
+}
+
+ObjectChange deleted(const std::string &name, std::uint64_t revision)
+{
+    return { { name, revision, nullptr }, true };
+}
+
+} // namespace
+
+TEST_SUITE_BEGIN("replica relay");
+
+TEST_CASE("a new follower receives all objects, and then only changes")
+{
+    EventLoop loop;
+    Vm source(loop);
+    Vm follower(loop);
+    source.servers().adoptSnapshot({ { "a", { "a", 5, 1 } }, { "b", { "b", 7, 2 } } }, 10);
+    source.relay.setServing(true);
+
+    Response first;
+    CHECK(source.relay.handle(query(follower, milliseconds(0)), first.sink()) == 0);
+    REQUIRE(first.isComplete);
+    CHECK(ReplicaRelay::apply(first.body, follower.replicas));
+    CHECK(follower.events == "+a +b ");
+    CHECK(follower.servers().revision() == 10);
+
+    follower.events.clear();
+    Response second;
+    CHECK(source.relay.handle(query(follower, seconds(1)), second.sink()) != 0);
+    CHECK_FALSE(second.isComplete);
+    source.servers().adoptChanges({ stored("c", 11), deleted("a", 12) }, 12);
+    REQUIRE(second.isComplete);
+    CHECK(second.body.find("\"b\"") == std::string::npos);
+    CHECK(ReplicaRelay::apply(second.body, follower.replicas));
+    CHECK(follower.events == "+c -a ");
+    CHECK(follower.servers().revision() == 12);
+}
+
+TEST_CASE("a list that replaces the replica reaches followers as changes")
+{
+    EventLoop loop;
+    Vm source(loop);
+    Vm follower(loop);
+    source.servers().adoptSnapshot({ { "a", { "a", 5, 1 } }, { "b", { "b", 7, 2 } } }, 10);
+    source.relay.setServing(true);
+    Response first;
+    source.relay.handle(query(follower, milliseconds(0)), first.sink());
+    ReplicaRelay::apply(first.body, follower.replicas);
+    source.servers().adoptSnapshot({ { "b", { "b", 7, 2 } }, { "c", { "c", 15, 3 } } }, 20);
+    follower.events.clear();
+    Response second;
+    source.relay.handle(query(follower, milliseconds(0)), second.sink());
+    CHECK(second.body.find("objects") == std::string::npos);
+    CHECK(ReplicaRelay::apply(second.body, follower.replicas));
+    CHECK(follower.events == "-a +c ");
+}
+
+// After a restart, a server that had left must not be in use again because a relay is behind.
+TEST_CASE("changes of a relay that is behind the follower are ignored")
+{
+    EventLoop loop;
+    Vm source(loop);
+    Vm follower(loop);
+    source.servers().adoptSnapshot({ { "a", { "a", 5, 1 } } }, 10);
+    follower.servers().adoptSnapshot({ { "b", { "b", 15, 1 } } }, 20);
+    source.relay.setServing(true);
+    Response stale;
+    source.relay.handle("wait_ms=0&servers=0", stale.sink());
+    follower.events.clear();
+    CHECK(ReplicaRelay::apply(stale.body, follower.replicas));
+    CHECK(follower.events.empty());
+    CHECK(follower.servers().revision() == 20);
+}
+
+TEST_CASE("a VM that does not reach the store refuses followers, also those that wait")
+{
+    EventLoop loop;
+    Vm source(loop);
+    Response refused;
+    CHECK(source.relay.handle("wait_ms=0&servers=0", refused.sink()) == 0);
+    CHECK(refused.head.starts_with("HTTP/1.1 503"));
+    source.relay.setServing(true);
+    Response waiting;
+    CHECK(source.relay.handle("wait_ms=1000&servers=0", waiting.sink()) != 0);
+    source.relay.setServing(false);
+    CHECK(waiting.head.starts_with("HTTP/1.1 503"));
+}
+
+TEST_CASE("a follower that disconnected receives no response")
+{
+    EventLoop loop;
+    Vm source(loop);
+    source.relay.setServing(true);
+    Response gone;
+    const auto id = source.relay.handle("wait_ms=1000&servers=0", gone.sink());
+    source.relay.cancel(id);
+    source.servers().adoptSnapshot({ { "a", { "a", 5, 1 } } }, 10);
+    CHECK_FALSE(gone.isComplete);
+}
+
+TEST_CASE("malformed requests and responses do no harm")
+{
+    EventLoop loop;
+    Vm vm(loop);
+    vm.relay.setServing(true);
+    for (const char *malformed : { "", "&", "=", "wait_ms", "wait_ms=-1", "servers=x&&=5",
+                                   "wait_ms=99999999999999999999" }) {
+        CAPTURE(malformed);
+        Response response;
+        vm.relay.cancel(vm.relay.handle(malformed, response.sink()));
+    }
+    for (const char *malformed :
+         { "", "[]", "{\"servers\":1}", "{\"servers\":{\"revision\":\"x\"}}",
+           "{\"servers\":{\"revision\":5,\"changes\":[{\"name\":1}]}}" }) {
+        CAPTURE(malformed);
+        ReplicaRelay::apply(malformed, vm.replicas);
+        CHECK(vm.servers().revision() == 0);
+    }
+}
+
+TEST_SUITE_END();
+
+} // namespace basildeck::test
