--- a/src/decide/PeerTable.cpp
+++ b/src/decide/PeerTable.cpp
@@ -85,9 +85,10 @@
 
 std::vector<const Heartbeat *> PeerTable::reachable(Time now) const
 {
+    const Duration timeout = reachabilityTimeout();
     std::vector<const Heartbeat *> peers;
     for (const auto &[vm, peer] : m_peers) {
-        if (now - peer.receivedAt <= reachabilityTimeout())
+        if (now - peer.receivedAt <= timeout)
             peers.push_back(&peer.heartbeat);
     }
     return peers;
@@ -130,12 +131,11 @@
 
 std::size_t PeerTable::knownVmCount() const
 {
-    std::set<std::string> vms{ m_self };
-    for (const auto &[vm, registered] : m_registered)
-        vms.insert(vm);
-    for (const auto &[vm, peer] : m_peers)
-        vms.insert(vm);
-    return vms.size();
+    const auto unregistered = std::count_if(m_peers.begin(), m_peers.end(), [&](const auto &entry) {
+        return !m_registered.contains(entry.first);
+    });
+    const std::size_t self = m_registered.contains(m_self) ? 0 : 1;
+    return m_registered.size() + static_cast<std::size_t>(unregistered) + self;
 }
 
 std::size_t PeerTable::peerCountInRegion(const std::string &region) const
