Report targets in large fleets only; keep the average as the typical run time; split long files

Change: VMs report, and eject by, single runs only in fleets of 60 VMs and more. The typical run time is the average again, the median only tells slow runs.

--- a/src/decide/RunTimeEstimator.cpp
+++ b/src/decide/RunTimeEstimator.cpp
@@ -1,36 +1,54 @@
 #include "decide/RunTimeEstimator.h"
 
-#include <algorithm>
-
 namespace basildeck {
 
-void RunTimeEstimator::record(const std::string &kind, const std::string &region, Duration run)
+namespace {
+
+Duration fromSeconds(double value)
 {
-    const auto [estimate, isNew] = m_secondsByRegion[kind].try_emplace(region, toSeconds(run));
-    if (!isNew)
-        estimate->second *= toSeconds(run) > estimate->second ? 1 + stepFraction : 1 - stepFraction;
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(value));
 }
 
-bool RunTimeEstimator::isSlow(const std::string &kind, std::string_view region, Duration run) const
+} // namespace
+
+void RunTimeEstimator::record(const std::string &kind, const std::string &region, Duration run)
 {
-    const Duration typical = typicalRun(kind, region);
-    return typical > Duration::zero() && run > typical * slowRunFactor;
+    const double sample = toSeconds(run);
+    const auto [known, isNew] = m_estimates[kind].try_emplace(region, Estimate{ sample, sample });
+    if (isNew)
+        return;
+    Estimate &estimate = known->second;
+    estimate.average += smoothingFactor * (sample - estimate.average);
+    estimate.median *= sample > estimate.median ? 1 + medianStep : 1 - medianStep;
 }
 
-Duration RunTimeEstimator::typicalRun(const std::string &kind, std::string_view region) const
+const RunTimeEstimator::Estimate *RunTimeEstimator::find(const std::string &kind,
+                                                         std::string_view region) const
 {
-    const auto regions = m_secondsByRegion.find(kind);
-    if (regions == m_secondsByRegion.end())
-        return Duration::zero();
+    const auto regions = m_estimates.find(kind);
+    if (regions == m_estimates.end())
+        return nullptr;
     const auto known = regions->second.find(region);
-    double seconds = 0;
-    if (known != regions->second.end()) {
-        seconds = known->second;
-    } else {
-        for (const auto &[other, estimate] : regions->second)
-            seconds = std::max(seconds, estimate);
+    if (known != regions->second.end())
+        return &known->second;
+    const Estimate *slowest = nullptr;
+    for (const auto &[other, estimate] : regions->second) {
+        if (slowest == nullptr || estimate.average > slowest->average)
+            slowest = &estimate;
     }
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+    return slowest;
+}
+
+Duration RunTimeEstimator::typicalRun(const std::string &kind, std::string_view region) const
+{
+    const Estimate *estimate = find(kind, region);
+    return estimate == nullptr ? Duration::zero() : fromSeconds(estimate->average);
+}
+
+Duration RunTimeEstimator::slowRun(const std::string &kind, std::string_view region) const
+{
+    const Estimate *estimate = find(kind, region);
+    return estimate == nullptr ? Duration::max() : fromSeconds(estimate->median * slowRunFactor);
 }
 
 } // namespace basildeck
--- a/src/decide/TargetReport.h
+++ b/src/decide/TargetReport.h
@@ -3,6 +3,7 @@
 #include "basildeck/Time.h"
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -24,13 +25,18 @@
 }
 
 // Tells the other VMs about a target. In a large fleet each VM sends few requests to a target, so
-// it would find out too late by itself.
+// it would find out too late by itself. In a smaller one a VM knows its targets by itself, and long
+// runs and reset connections are mostly due to a queue at the target: ejecting targets at all VMs
+// would take capacity when load is at its worst.
 struct TargetReport
 {
     std::string target;
     TargetTrouble trouble = TargetTrouble::Unreachable;
 };
 
+// VMs of the smallest fleet in which VMs report targets.
+constexpr std::size_t minVmsReportingTargets = 60;
+
 // How long a reported target is ejected: about as long as it takes to find out again, so that it is
 // used again soon after it has recovered.
 constexpr Duration ejectionTime(TargetTrouble trouble)
--- /dev/null
+++ b/src/edge/ForwarderTargets.cpp
@@ -0,0 +1,89 @@
+// The part of Forwarder that judges targets by their runs.
+
+#include "edge/Forwarder.h"
+
+#include "core/Log.h"
+
+#include <utility>
+
+namespace basildeck {
+
+namespace {
+
+constexpr const char *logComponent = "forward";
+// A target that refuses connections within this time after a connection was lost has crashed.
+constexpr Duration crashDetectionWindow = seconds(3);
+
+std::int64_t toMilliseconds(Duration duration)
+{
+    return std::chrono::duration_cast<milliseconds>(duration).count();
+}
+
+} // namespace
+
+bool Forwarder::ejectReported(const TargetReport &report)
+{
+    TargetState *target = m_targets.find(report.target);
+    const Time now = m_loop.now();
+    if (target == nullptr || target->outlierDetector.isEjected(now))
+        return false;
+    target->outlierDetector.ejectFor(ejectionTime(report.trouble), now);
+    if (!m_targets.isEligible(*target, now))
+        redispatchQueued(*target);
+    return true;
+}
+
+void Forwarder::reportTarget(const TargetState &target, TargetTrouble trouble)
+{
+    const TargetReport report{ target.registration.id, trouble };
+    if (m_fleetVmCount < minVmsReportingTargets || !ejectReported(report))
+        return;
+    BASILDECK_INFO(logComponent) << "target ejected target=" << report.target
+                                 << " reason=" << targetTroubleName(trouble);
+    if (m_onTargetTrouble)
+        m_onTargetTrouble(report);
+}
+
+void Forwarder::findSlowTargets()
+{
+    const Time now = m_loop.now();
+    // Reporting a target dispatches the requests in its queue.
+    std::vector<const TargetState *> slow;
+    for (const auto &[id, request] : m_requests) {
+        const TargetState *target
+                = request->isInFlight ? m_targets.find(request->targetId) : nullptr;
+        if (target != nullptr && isSlow(*request, *target, now - request->sentAt))
+            slow.push_back(target);
+    }
+    for (const TargetState *target : slow)
+        reportTarget(*target, TargetTrouble::Slow);
+}
+
+bool Forwarder::isSlow(const Request &request, const TargetState &target, Duration run) const
+{
+    // A large response takes its time on the way, and a cold target is slow at first.
+    return !request.response.isStreaming && !m_targets.isCold(target, m_loop.now())
+           && run > m_runTimeEstimator.slowRun(request.route->name, target.region);
+}
+
+void Forwarder::recordTargetFailure(TargetState &target)
+{
+    if (target.outlierDetector.recordFailure(m_loop.now()))
+        BASILDECK_INFO(logComponent) << "target ejected target=" << target.registration.id
+                                     << " failures_in_row=" << OutlierDetector::ejectionThreshold;
+}
+
+void Forwarder::reportCrashSuspects(TargetState &target, Time now)
+{
+    for (const LostRun &run : std::exchange(target.lostRuns, {})) {
+        if (now - run.at > crashDetectionWindow)
+            continue;
+        const CrashReport report{ run.fingerprint, target.registration.id,
+                                  static_cast<std::uint32_t>(toMilliseconds(run.ranFor)) };
+        recordCrash(report);
+        if (m_onCrash)
+            m_onCrash(report);
+    }
+}
+
+} // namespace basildeck
--- a/tests/OverloadSimulation.cpp
+++ b/tests/OverloadSimulation.cpp
@@ -259,21 +259,20 @@
         if (!m_pattern.sharesReports)
             return;
         SimulatedVm &vm = m_vms[request.vm];
-        const Duration typical
-                = vm.estimator.typicalRun(request.kind->name, m_targets.at(id).region);
-        if (typical == Duration::zero())
+        const Duration slow = vm.estimator.slowRun(request.kind->name, m_targets.at(id).region);
+        if (slow == Duration::max())
             return;
         vm.running.insert(request.id);
-        at(m_now + typical * RunTimeEstimator::slowRunFactor + m_pattern.reportDelay,
-           [this, request, id] {
-               if (m_vms[request.vm].running.contains(request.id))
-                   reportSlow(request.vm, id);
-           });
+        at(m_now + slow + m_pattern.reportDelay, [this, request, id] {
+            if (m_vms[request.vm].running.contains(request.id))
+                reportSlow(request.vm, id);
+        });
     }
 
     void reportSlow(std::size_t from, const std::string &id)
     {
-        if (!m_pattern.sharesReports || m_vms[from].detectors[id].isEjected(m_now))
+        if (!m_pattern.sharesReports || m_vms.size() < minVmsReportingTargets
+            || m_vms[from].detectors[id].isEjected(m_now))
             return;
         const Duration length = ejectionTime(TargetTrouble::Slow);
         m_vms[from].detectors[id].ejectFor(length, m_now);
@@ -333,7 +332,7 @@
         vm.running.erase(request.id);
         vm.limiters.at(id)->answered(request.kind->name, m_now - request.sentAt, load, m_now);
         const std::string &region = m_targets.at(id).region;
-        if (vm.estimator.isSlow(request.kind->name, region, m_now - request.sentAt))
+        if (m_now - request.sentAt > vm.estimator.slowRun(request.kind->name, region))
             reportSlow(request.vm, id);
         vm.estimator.record(request.kind->name, region, m_now - request.sentAt);
         if (m_now - request.arrivedAt <= request.kind->objective) {
