--- a/src/decide/QuotaHolders.cpp
+++ b/src/decide/QuotaHolders.cpp
@@ -4,16 +4,16 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <functional>
 #include <utility>
 
 namespace basildeck {
 
-QuotaHolders::QuotaHolders(std::map<std::string, std::string> vmRegions)
+QuotaHolders::QuotaHolders(const std::map<std::string, std::string> &vmRegions)
+    : m_regions(vmRegions.begin(), vmRegions.end())
 {
-    for (auto &[vm, region] : vmRegions) {
+    for (const auto &[vm, region] : vmRegions)
         m_vmsByRegion[region].push_back(vm);
-        m_regions.emplace(vm, std::move(region));
-    }
 }
 
 const std::vector<std::string> &QuotaHolders::of(const std::string &organisation) const
--- a/src/decide/QuotaHolders.h
+++ b/src/decide/QuotaHolders.h
@@ -25,7 +25,7 @@
 
     QuotaHolders() = default;
     // Takes the region of each registered VM by its name.
-    explicit QuotaHolders(std::map<std::string, std::string> vmRegions);
+    explicit QuotaHolders(const std::map<std::string, std::string> &vmRegions);
 
     // Names of an organisation's holders, best ranked first within each region.
     const std::vector<std::string> &of(const std::string &organisation) const;
