A follower without objects waits longer; decide roles by a timer of the view

Cause: reading the change: the time limit for a response with all objects was declared and not used, and a deferred decision of the role could run after the view was destroyed, because the loop runs what is left when it ends.

Change: ReplicaFollower uses snapshotTimeout; FleetView decides its role by a timer, which ends with the view.

--- a/src/decide/QuotaManager.h
+++ b/src/decide/QuotaManager.h
@@ -127,7 +127,7 @@
         std::size_t waiting = 0;
         // The state of a borrower.
         std::vector<std::string> lenders; // reachable holders, those of the region first
-        std::size_t lender = 0;           // index of the one to ask
+        std::size_t lender = 0;           // index of the one to try next
         int refusals = 0;                 // by holders in a row
         BorrowedTokens borrowed;
         std::optional<Time> answerDueAt; // of an open request for tokens
--- a/src/edge/FleetView.cpp
+++ b/src/edge/FleetView.cpp
@@ -45,8 +45,9 @@
     , m_registrationClient(dependencies.loop)
     , m_catchUpClient(dependencies.loop)
     , m_timer(dependencies.loop, [this] { tick(); })
+    , m_roleTimer(dependencies.loop, [this] { updateRole(); })
 {
-    const auto reachable = [this](bool) { m_dependencies.loop.defer([this] { updateRole(); }); };
+    const auto reachable = [this](bool) { m_roleTimer.startOnce(Duration::zero()); };
     const auto batch = [this] { handleBatch(); };
     m_replicas.push_back(makeReplica(dependencies.format.configKind,
                                      { [this](const StoredObject &object) { handleConfig(object); },
@@ -190,7 +191,7 @@
     if (!isRegistrationCurrent && !m_isDeregistering)
         registerSelf();
     m_dependencies.peers.setRegistered(std::move(vms), m_dependencies.loop.now());
-    m_dependencies.loop.defer([this] { updateRole(); });
+    m_roleTimer.startOnce(Duration::zero());
     if (!m_isConfigured)
         activateConfig();
 }
--- a/src/edge/FleetView.h
+++ b/src/edge/FleetView.h
@@ -100,6 +100,7 @@
     JsonHttpClient m_registrationClient;
     JsonHttpClient m_catchUpClient;
     Timer m_timer;
+    Timer m_roleTimer; // active while the role is to be decided again, outside of callbacks
     std::map<std::string, Time> m_behindSince; // by kind
     // VMs that sent changes, or failed to, since this VM fell behind.
     std::set<std::string> m_unhelpfulPeers;
--- a/src/edge/ReplicaFollower.cpp
+++ b/src/edge/ReplicaFollower.cpp
@@ -75,7 +75,8 @@
     const bool isEmpty = std::any_of(m_replicas.begin(), m_replicas.end(),
                                      [](const auto &replica) { return replica->revision() == 0; });
     m_client.call(address.value(), "GET", ReplicaRelay::requestPath(m_replicas, wait), {},
-                  wait + responseTimeout, [this, relay](const Result<JsonHttpResponse> &response) {
+                  wait + (isEmpty ? snapshotTimeout : responseTimeout),
+                  [this, relay](const Result<JsonHttpResponse> &response) {
                       handleResponse(relay, response);
                   });
 }
