Log the stages of requests that end unanswered after SIGTERM

Callers reported requests that were accepted by a VM during its shutdown and never answered.

The lines of refused requests, disconnected callers and cut responses now end with the times of the connection, the first byte, the complete request, the last send to a target and the end, in milliseconds after SIGTERM. A truncated response has one function and a log line of its own; before it was only counted.

--- a/src/edge/CallerConnection.cpp
+++ b/src/edge/CallerConnection.cpp
@@ -13,7 +13,8 @@
                { [this](MessageHead head) { handleHead(std::move(head)); },
                  [this](std::string_view bytes) { handleBody(bytes); }, [] {} })
     , m_onClosed(std::move(onClosed))
-    , m_lastInput(context.loop.now())
+    , m_connectedAt(context.loop.now())
+    , m_lastInput(m_connectedAt)
     , m_idleSince(m_lastInput)
     , m_messageStart(m_lastInput)
 {
@@ -122,6 +123,7 @@
         m_acceptsInput = false;
     pending.closesConnection = !m_incoming.head.keepAlive;
     m_incoming.sink = makeSink(id);
+    m_incoming.connectedAt = m_connectedAt;
     m_incoming.receivedAt = m_messageStart;
     const auto request = m_context.handler.submit(std::move(m_incoming));
     m_incoming = {};
--- a/src/edge/CallerConnection.h
+++ b/src/edge/CallerConnection.h
@@ -102,6 +102,7 @@
     std::size_t m_incomingBodyBytes = 0;
     std::deque<PendingResponse> m_pendingResponses;
     std::uint64_t m_nextId = 1;
+    Time m_connectedAt;
     Time m_lastInput;
     Time m_idleSince; // the last input or the end of the last response, whichever is later
     Time m_messageStart;
--- a/src/edge/EdgeProcess.cpp
+++ b/src/edge/EdgeProcess.cpp
@@ -294,6 +294,7 @@
         return;
     BASILDECK_INFO(logComponent) << "leaving open_requests=" << m_forwarder.openRequests();
     m_shutdownSince = m_loop.now();
+    m_forwarder.beginShutdown(*m_shutdownSince);
     m_gossip->sendHeartbeatNow();
     m_view->deregister([this] { m_isDeregistered = true; });
 }
@@ -307,6 +308,9 @@
         m_callerServer->closeAfterResponses();
     if (now - *m_shutdownSince >= acceptDuration && !m_hasStoppedAccepting) {
         m_hasStoppedAccepting = true;
+        BASILDECK_INFO(logComponent)
+                << "no longer accepting requests open_requests=" << m_forwarder.openRequests()
+                << " connections=" << m_callerServer->connectionCount();
         m_callerServer->stopAccepting();
     }
     const bool isDone
@@ -316,6 +320,8 @@
     if (!isDone && !m_hasAbortedRequests) {
         // Aborting also releases complete responses that are queued behind an incomplete one.
         m_hasAbortedRequests = true;
+        BASILDECK_INFO(logComponent)
+                << "ending open requests open_requests=" << m_forwarder.openRequests();
         m_forwarder.abortAll();
         return;
     }
--- a/src/edge/ForwardedRequest.h
+++ b/src/edge/ForwardedRequest.h
@@ -36,7 +36,8 @@
 {
     MessageHead head;
     std::string body;
-    Time receivedAt;
+    Time connectedAt; // when the caller's connection was accepted
+    Time receivedAt;  // when the first byte arrived
     ResponseSink sink;
 };
 
@@ -64,6 +65,7 @@
     std::uint64_t placementHash = 0; // selects the targets for the request
     std::uint64_t fingerprint = 0;   // identical for repetitions of a request
     int priority = 0;
+    Time submittedAt; // when the request had been read completely
     Time softDeadline;
     Time deadline;
 
--- a/src/edge/Forwarder.cpp
+++ b/src/edge/Forwarder.cpp
@@ -122,12 +122,29 @@
     return request.organisation == nullptr ? std::string() : request.organisation->name;
 }
 
+std::string Forwarder::shutdownTimeline(const Request &request) const
+{
+    if (!m_shutdownSince)
+        return {};
+    const auto field = [this](const char *name, Time at) {
+        const auto after = std::chrono::duration_cast<milliseconds>(at - *m_shutdownSince);
+        return std::string(" ") + name + "=" + std::to_string(after.count());
+    };
+    std::string text = field("sigterm_connected_ms", request.incoming.connectedAt)
+                       + field("sigterm_received_ms", request.incoming.receivedAt)
+                       + field("sigterm_read_ms", request.submittedAt);
+    if (request.attemptCount > 0)
+        text += field("sigterm_sent_ms", request.sentAt);
+    return text + field("sigterm_ended_ms", m_loop.now());
+}
+
 Forwarder::RequestId Forwarder::submit(IncomingRequest incoming)
 {
     const RequestId id = m_nextId++;
     auto newRequest = std::make_unique<Request>();
     Request &request = *newRequest;
     request.id = id;
+    request.submittedAt = m_loop.now();
     request.incoming = std::move(incoming);
     if (const std::string *requestIdField = request.incoming.head.fields.find(m_names.requestId))
         request.callerRequestId = *requestIdField;
@@ -320,7 +337,7 @@
             << std::chrono::duration_cast<milliseconds>(now - request.incoming.receivedAt).count()
             << " retry_after_ms=" << std::chrono::duration_cast<milliseconds>(retryAfter).count()
             << " config_revision=" << (request.routing ? request.routing->revision() : 0)
-            << (detail.empty() ? "" : " ") << detail;
+            << (detail.empty() ? "" : " ") << detail << shutdownTimeline(request);
     m_metrics.countRefusal(kind, routeName, organisationName(request));
     LocalReply reply
             = makeRefusal(kind, status, m_names.requestId, request.callerRequestId, retryAfter);
--- a/src/edge/Forwarder.h
+++ b/src/edge/Forwarder.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -63,6 +64,9 @@
     void callerDisconnected(RequestId id);
     // The output buffer of the caller's connection has been drained.
     void callerOutputDrained(RequestId id);
+    // The process received SIGTERM. From now on, the log lines of requests that end without the
+    // answer of a target tell how long after the signal each of their stages was.
+    void beginShutdown(Time signalledAt) { m_shutdownSince = signalledAt; }
     // Ends all open requests, because the process is about to exit.
     void abortAll();
 
@@ -108,6 +112,8 @@
     // crashed.
     void reportCrashSuspects(TargetState &target, Time now);
     void handleNotExecuted(Request &request);
+    // Ends a response whose head was sent so that the caller sees that it is incomplete.
+    void truncateResponse(Request &request);
     void startStreaming(Request &request);
     void forwardBody(Request &request, std::string_view bytes);
     // Ends the current attempt. Returns the connection to the pool unless the attempt was
@@ -122,6 +128,9 @@
                 const std::string &detail = {});
     void finish(Request &request);
     std::string organisationName(const Request &request) const;
+    // The stages of a request in milliseconds after SIGTERM, negative before it, as log fields.
+    // Empty while the process is not shutting down.
+    std::string shutdownTimeline(const Request &request) const;
 
     EventLoop &m_loop;
     const EdgeSettings &m_settings;
@@ -133,6 +142,7 @@
     Timer m_tokenTimer;                                // active while requests wait for tokens
     std::map<std::string, RetryBudget> m_retryBudgets; // by service
     std::size_t m_fleetVmCount = 1;
+    std::optional<Time> m_shutdownSince;
     RunTimeEstimator m_runTimeEstimator;
     CrashQuarantine m_crashQuarantine;
     std::function<void(const CrashReport &)> m_onCrash;
--- a/src/edge/ForwarderResponses.cpp
+++ b/src/edge/ForwarderResponses.cpp
@@ -239,9 +239,7 @@
     }
     request.mayHaveRun = request.mayHaveRun || wasSent;
     if (request.response.isStreaming) {
-        m_metrics.countTruncatedResponse(request.route->name, organisationName(request));
-        request.incoming.sink.abort();
-        finish(request);
+        truncateResponse(request);
     } else if ((!wasSent || request.isIdempotent())
                && acquireRetry(request, wasSent ? RetryReason::LostIdempotent
                                                 : RetryReason::ConnectFailed)) {
@@ -257,6 +255,16 @@
         sendQueued(*target);
 }
 
+void Forwarder::truncateResponse(Request &request)
+{
+    BASILDECK_INFO(logComponent) << "response cut off request=" << request.callerRequestId
+                                 << " route=" << request.route->name
+                                 << " target=" << request.targetId << shutdownTimeline(request);
+    m_metrics.countTruncatedResponse(request.route->name, organisationName(request));
+    request.incoming.sink.abort();
+    finish(request);
+}
+
 void Forwarder::handleDeadline(Request &request)
 {
     TargetState *target = m_targets.find(request.targetId);
@@ -272,9 +280,7 @@
         }
     }
     if (request.response.isStreaming) {
-        m_metrics.countTruncatedResponse(request.route->name, organisationName(request));
-        request.incoming.sink.abort();
-        finish(request);
+        truncateResponse(request);
     } else {
         refuse(request,
                request.mayHaveRun ? ErrorKind::UpstreamTimeout : ErrorKind::DeadlineExceeded,
@@ -298,9 +304,7 @@
         request.mayHaveRun = request.mayHaveRun || request.isInFlight;
         endAttempt(request, true);
         if (request.response.isStreaming) {
-            m_metrics.countTruncatedResponse(request.route->name, organisationName(request));
-            request.incoming.sink.abort();
-            finish(request);
+            truncateResponse(request);
         } else {
             refuse(request, request.mayHaveRun ? ErrorKind::UpstreamTimeout : ErrorKind::Leaving,
                    request.mayHaveRun ? Duration::zero() : defaultRetryAfter);
@@ -317,7 +321,7 @@
     TargetState *target = m_targets.find(request.targetId);
     BASILDECK_INFO(logComponent) << "caller disconnected request=" << request.callerRequestId
                                  << " target=" << request.targetId
-                                 << " running=" << request.isInFlight;
+                                 << " running=" << request.isInFlight << shutdownTimeline(request);
     if (request.isQueued && target != nullptr)
         target->concurrencyLimiter.cancel(id);
     const bool wasRunning = request.isInFlight;
--- a/tests/EdgeFixture.cpp
+++ b/tests/EdgeFixture.cpp
@@ -128,6 +128,16 @@
     runOnLoop([this] { m_server->stopAccepting(); });
 }
 
+void EdgeFixture::beginShutdown()
+{
+    runOnLoop([this] { m_forwarder->beginShutdown(m_loop.now()); });
+}
+
+void EdgeFixture::abortAll()
+{
+    runOnLoop([this] { m_forwarder->abortAll(); });
+}
+
 std::size_t EdgeFixture::openRequests()
 {
     std::size_t count = 0;
--- a/tests/OperationsLogTest.cpp
+++ b/tests/OperationsLogTest.cpp
@@ -124,6 +124,20 @@
                     { "target", "sends", "age_ms" }));
 }
 
+TEST_CASE("a request that the shutdown ends is logged with its stages counted from SIGTERM")
+{
+    const LogCapture log;
+    EdgeFixture fixture;
+    auto caller = fixture.sendAsCaller(EdgeFixture::request("GET", "/safe/", "cut-1"));
+    auto received = fixture.awaitRequest();
+    fixture.beginShutdown();
+    fixture.abortAll();
+    REQUIRE(readResponse(*caller));
+    CHECK(hasFields(log.line({ "refused", "request=cut-1", "reason=upstream-timeout" }),
+                    { "sigterm_connected_ms", "sigterm_received_ms", "sigterm_read_ms",
+                      "sigterm_sent_ms", "sigterm_ended_ms" }));
+}
+
 TEST_CASE("a response is logged with its target, wait time and run time")
 {
     const LogCapture log;
