Decide by a request's arrival whether a VM that shuts down accepts it

Cause: the end of acceptance, 3 s after the signal, was noticed by a periodic check every 250 ms, so requests were passed on until 3.0 to 3.3 s. Runs of the longest route take 2.8 s on average and up to 8 s, and what is still running at 5.1 s is ended. Nothing asked whether a request could end by then, neither when it arrived nor when it was sent a second time.

Change: ShutdownSchedule holds the phases of a shutdown. While the process shuts down, targets are chosen by what ends before the remaining requests are ended; others are refused as not run, first sends and retries alike.

--- a/src/edge/EdgeProcess.cpp
+++ b/src/edge/EdgeProcess.cpp
@@ -22,9 +22,6 @@
 // Upper limit of the time of uninterrupted store access that heartbeats report.
 constexpr Duration maxReportedStoreReachableTime = seconds(60);
 constexpr Duration reloadPeriod = seconds(5);
-// A VM that shuts down accepts connections until callers no longer choose it, but reserves this
-// much of the grace period for ending the remaining requests.
-constexpr Duration shutdownReserve = milliseconds(900);
 // Delay of the heartbeat that announces a change of the store or a target in trouble, so that it
 // announces the following ones as well.
 constexpr Duration announceDelay = milliseconds(200);
@@ -39,6 +36,7 @@
     , m_forwarder(m_loop, m_settings, m_format.names, m_targets)
     , m_peers(settings.vmName)
     , m_timer(m_loop, [this] { tick(); })
+    , m_shutdownTimer(m_loop, [this] { continueShutdown(); })
     , m_announceTimer(m_loop, [this] {
         m_isAnnouncementDue = false;
         m_gossip->sendHeartbeatNow();
@@ -184,7 +182,7 @@
 std::string EdgeProcess::lookupResponse(const LookupQuery &query)
 {
     std::vector<DirectoryEntry> entries;
-    if (!m_shutdownSince)
+    if (!m_shutdown)
         entries.push_back(
                 { m_settings.callerAddress.toString(), m_settings.region, m_settings.zone });
     for (const Heartbeat *peer : m_peers.reachable(m_loop.now())) {
@@ -229,7 +227,7 @@
             = std::min<Duration>(m_targets.storeReachableFor(now), maxReportedStoreReachableTime);
     heartbeat.storeReachedForMs = static_cast<std::uint32_t>(
             std::chrono::duration_cast<milliseconds>(reachableTime).count());
-    heartbeat.leaving = m_shutdownSince.has_value();
+    heartbeat.leaving = m_shutdown.has_value();
     heartbeat.revisions = m_view->revisions();
     heartbeat.targetReports = std::exchange(m_targetReports, {});
     heartbeat.crashes.clear();
@@ -266,7 +264,7 @@
             { m_peers.registeredRegions(), m_peers.knownVmCount(), m_peers.reachable(now) }, now);
     if (now - m_lastReload > reloadPeriod)
         reloadSettings();
-    if (m_shutdownSince)
+    if (m_shutdown)
         continueShutdown();
 }
 
@@ -290,23 +288,24 @@
 
 void EdgeProcess::beginShutdown()
 {
-    if (m_shutdownSince)
+    if (m_shutdown)
         return;
     BASILDECK_INFO(logComponent) << "leaving open_requests=" << m_forwarder.openRequests();
-    m_shutdownSince = m_loop.now();
-    m_forwarder.beginShutdown(*m_shutdownSince);
+    m_shutdown = ShutdownSchedule::make(m_loop.now(), m_settings.bounds.shutdownGrace);
+    m_forwarder.beginShutdown(*m_shutdown);
     m_gossip->sendHeartbeatNow();
     m_view->deregister([this] { m_isDeregistered = true; });
+    continueShutdown();
 }
 
 void EdgeProcess::continueShutdown()
 {
     const Time now = m_loop.now();
-    const Duration remaining = m_settings.bounds.shutdownGrace - (now - *m_shutdownSince);
-    const Duration acceptDuration = std::min(lookupTtl, m_settings.bounds.shutdownGrace / 2);
-    if (now - *m_shutdownSince >= acceptDuration / 2)
+    if (const Time nextPhase = m_shutdown->nextPhaseAfter(now); nextPhase > now)
+        m_shutdownTimer.startOnce(nextPhase - now);
+    if (now >= m_shutdown->closeAfterResponsesAt)
         m_callerServer->closeAfterResponses();
-    if (now - *m_shutdownSince >= acceptDuration && !m_hasStoppedAccepting) {
+    if (now >= m_shutdown->acceptUntil && !m_hasStoppedAccepting) {
         m_hasStoppedAccepting = true;
         BASILDECK_INFO(logComponent)
                 << "no longer accepting requests open_requests=" << m_forwarder.openRequests()
@@ -315,7 +314,7 @@
     }
     const bool isDone
             = m_hasStoppedAccepting && m_callerServer->connectionCount() == 0 && m_isDeregistered;
-    if (!isDone && remaining > shutdownReserve)
+    if (!isDone && now < m_shutdown->endRequestsAt)
         return;
     if (!isDone && !m_hasAbortedRequests) {
         // Aborting also releases complete responses that are queued behind an incomplete one.
--- a/src/edge/EdgeProcess.h
+++ b/src/edge/EdgeProcess.h
@@ -79,7 +79,7 @@
     void reloadSettings();
     void beginShutdown();
     void continueShutdown();
-    bool isReady() const { return !m_shutdownSince && m_view->isConfigured(); }
+    bool isReady() const { return !m_shutdown && m_view->isConfigured(); }
 
     EdgeSettings m_settings;
     PlatformFormat m_format;
@@ -92,6 +92,7 @@
     std::unique_ptr<EdgeServer> m_callerServer;
     std::vector<std::unique_ptr<EdgeServer>> m_controlServers;
     Timer m_timer;
+    Timer m_shutdownTimer; // for the next phase of the shutdown
     Timer m_announceTimer;
     std::unique_ptr<SignalWatcher> m_terminateWatcher;
     std::unique_ptr<SignalWatcher> m_interruptWatcher;
@@ -99,7 +100,7 @@
     std::function<std::optional<EdgeSettings>()> m_loadSettings;
     std::vector<std::pair<CrashReport, Time>> m_recentCrashes;
     std::vector<TargetReport> m_targetReports; // not sent yet
-    std::optional<Time> m_shutdownSince;
+    std::optional<ShutdownSchedule> m_shutdown;
     bool m_isAnnouncementDue = false;
     bool m_hasStoppedAccepting = false;
     bool m_hasAbortedRequests = false;
--- a/src/edge/Forwarder.cpp
+++ b/src/edge/Forwarder.cpp
@@ -124,10 +124,10 @@
 
 std::string Forwarder::shutdownTimeline(const Request &request) const
 {
-    if (!m_shutdownSince)
+    if (!m_shutdown)
         return {};
     const auto field = [this](const char *name, Time at) {
-        const auto after = std::chrono::duration_cast<milliseconds>(at - *m_shutdownSince);
+        const auto after = std::chrono::duration_cast<milliseconds>(at - m_shutdown->signalledAt);
         return std::string(" ") + name + "=" + std::to_string(after.count());
     };
     std::string text = field("sigterm_connected_ms", request.incoming.connectedAt)
@@ -150,6 +150,10 @@
         request.callerRequestId = *requestIdField;
     request.routing = m_routing;
     m_requests.emplace(id, std::move(newRequest));
+    if (m_shutdown && request.submittedAt >= m_shutdown->acceptUntil) {
+        refuse(request, ErrorKind::Leaving);
+        return id;
+    }
     if (!m_routing) {
         refuse(request, ErrorKind::NoConfiguration, noTargetRetryAfter);
         return id;
@@ -195,6 +199,11 @@
             kind, m_runTimeEstimator.typicalRun(kind, target.region), m_loop.now());
 }
 
+Time Forwarder::endOfService(Time deadline) const
+{
+    return m_shutdown ? std::min(deadline, m_shutdown->endRequestsAt) : deadline;
+}
+
 void Forwarder::dispatch(Request &request)
 {
     const Time now = m_loop.now();
@@ -210,9 +219,12 @@
             loads.push_back({ candidate->concurrencyLimiter.expectedWait(request.priority),
                               expectedRun(request, *candidate) });
         const TargetDecision decision
-                = chooseCandidate(loads, request.softDeadline - now, request.deadline - now);
+                = chooseCandidate(loads, endOfService(request.softDeadline) - now,
+                                  endOfService(request.deadline) - now);
         if (!decision.candidate) {
-            refuse(request, ErrorKind::QueueFull, decision.retryAfter,
+            const bool endsTooSoon = endOfService(request.softDeadline) < request.softDeadline;
+            refuse(request, endsTooSoon ? ErrorKind::Leaving : ErrorKind::QueueFull,
+                   endsTooSoon ? Duration::zero() : decision.retryAfter,
                    describeCandidates(candidates, loads));
             return;
         }
@@ -238,7 +250,7 @@
     request.queueTimer
             = std::make_unique<Timer>(m_loop, [this, &request] { handleQueueTimeout(request); });
     request.queueTimer->startOnce(
-            std::max(Duration::zero(), request.softDeadline - run - m_loop.now()));
+            std::max(Duration::zero(), endOfService(request.softDeadline) - run - m_loop.now()));
 }
 
 // The queue was slower than expected: tries another candidate, or refuses the request.
--- a/src/edge/Forwarder.h
+++ b/src/edge/Forwarder.h
@@ -5,6 +5,7 @@
 #include "decide/QuotaManager.h"
 #include "decide/RetryBudget.h"
 #include "decide/RunTimeEstimator.h"
+#include "decide/ShutdownSchedule.h"
 #include "edge/ForwardedRequest.h"
 #include "edge/TargetTable.h"
 
@@ -64,9 +65,10 @@
     void callerDisconnected(RequestId id);
     // The output buffer of the caller's connection has been drained.
     void callerOutputDrained(RequestId id);
-    // The process received SIGTERM. From now on, the log lines of requests that end without the
+    // The process received SIGTERM. Requests that arrive too late, or that cannot end before the
+    // shutdown ends them, are refused. From now on, the log lines of requests that end without the
     // answer of a target tell how long after the signal each of their stages was.
-    void beginShutdown(Time signalledAt) { m_shutdownSince = signalledAt; }
+    void beginShutdown(const ShutdownSchedule &schedule) { m_shutdown = schedule; }
     // Ends all open requests, because the process is about to exit.
     void abortAll();
 
@@ -91,6 +93,8 @@
     // Returns the eligible target of each placement group, best first.
     std::vector<TargetState *> eligibleCandidates(const Request &request, Time now);
     Duration expectedRun(const Request &request, const TargetState &target) const;
+    // The given deadline of a request, or the end of the shutdown if that is earlier.
+    Time endOfService(Time deadline) const;
     void enqueue(Request &request, TargetState &target);
     void sendToTarget(Request &request, TargetState &target);
     void handleQueueTimeout(Request &request);
@@ -142,7 +146,7 @@
     Timer m_tokenTimer;                                // active while requests wait for tokens
     std::map<std::string, RetryBudget> m_retryBudgets; // by service
     std::size_t m_fleetVmCount = 1;
-    std::optional<Time> m_shutdownSince;
+    std::optional<ShutdownSchedule> m_shutdown;
     RunTimeEstimator m_runTimeEstimator;
     CrashQuarantine m_crashQuarantine;
     std::function<void(const CrashReport &)> m_onCrash;
--- a/tests/EdgeFixture.cpp
+++ b/tests/EdgeFixture.cpp
@@ -128,9 +128,9 @@
     runOnLoop([this] { m_server->stopAccepting(); });
 }
 
-void EdgeFixture::beginShutdown()
+void EdgeFixture::beginShutdown(const ShutdownSchedule &schedule)
 {
-    runOnLoop([this] { m_forwarder->beginShutdown(m_loop.now()); });
+    runOnLoop([&] { m_forwarder->beginShutdown(schedule); });
 }
 
 void EdgeFixture::abortAll()
--- a/tests/EdgeFixture.h
+++ b/tests/EdgeFixture.h
@@ -33,8 +33,8 @@
     // Stops the edge from accepting requests, and waits until that has taken effect.
     void stopAccepting();
     std::size_t openRequests();
-    // Tells the forwarder that the process received SIGTERM now.
-    void beginShutdown();
+    // Tells the forwarder that the process received SIGTERM.
+    void beginShutdown(const ShutdownSchedule &schedule);
     // Ends all open requests.
     void abortAll();
     // Sets whether another VM grants a loan of one quota token per organisation when the edge
--- /dev/null
+++ b/tests/EdgeShutdownTest.cpp
@@ -0,0 +1,49 @@
+#include "EdgeFixture.h"
+
+#include <doctest/doctest.h>
+
+namespace basildeck::test {
+
+using standin::RawResponse;
+using standin::readResponse;
+
+namespace {
+
+RawResponse completeResponse(standin::RawSocket &socket)
+{
+    const auto response = readResponse(socket);
+    REQUIRE(response);
+    REQUIRE(response->complete);
+    return *response;
+}
+
+} // namespace
+
+TEST_SUITE_BEGIN("edge shutdown");
+
+TEST_CASE("a request that arrives 3 s after SIGTERM is refused and not passed on")
+{
+    EdgeFixture fixture;
+    const Time now = Clock::now();
+    fixture.beginShutdown(ShutdownSchedule::make(now - seconds(3), seconds(6)));
+    auto caller = fixture.sendAsCaller(EdgeFixture::request("POST", "/unsafe/", "late", {}, "x"));
+    const RawResponse response = completeResponse(*caller);
+    CHECK(response.head.status() == 503);
+    CHECK(response.head.header("basildeck-refusal") == "leaving");
+    CHECK(response.head.header("request-id") == "late");
+    CHECK(fixture.openRequests() == 0);
+}
+
+TEST_CASE("a request that cannot end before the shutdown does is refused and not cut off")
+{
+    EdgeFixture fixture;
+    const Time now = Clock::now();
+    fixture.beginShutdown({ now - seconds(3), now, now + seconds(60), now });
+    auto caller = fixture.sendAsCaller(EdgeFixture::request("GET", "/safe/", "long"));
+    CHECK(completeResponse(*caller).head.status() == 503);
+    CHECK(fixture.openRequests() == 0);
+}
+
+TEST_SUITE_END();
+
+} // namespace basildeck::test
--- a/tests/OperationsLogTest.cpp
+++ b/tests/OperationsLogTest.cpp
@@ -130,7 +130,7 @@
     EdgeFixture fixture;
     auto caller = fixture.sendAsCaller(EdgeFixture::request("GET", "/safe/", "cut-1"));
     auto received = fixture.awaitRequest();
-    fixture.beginShutdown();
+    fixture.beginShutdown(ShutdownSchedule::make(Clock::now(), seconds(6)));
     fixture.abortAll();
     REQUIRE(readResponse(*caller));
     CHECK(hasFields(log.line({ "refused", "request=cut-1", "reason=upstream-timeout" }),
