--- a/src/edge/Forwarder.cpp
+++ b/src/edge/Forwarder.cpp
@@ -122,17 +122,38 @@
     return request.organisation == nullptr ? std::string() : request.organisation->name;
 }
 
+std::string Forwarder::shutdownTimeline(const Request &request) const
+{
+    if (!m_shutdown)
+        return {};
+    const auto field = [this](const char *name, Time at) {
+        const auto after = std::chrono::duration_cast<milliseconds>(at - m_shutdown->signalledAt);
+        return std::string(" ") + name + "=" + std::to_string(after.count());
+    };
+    std::string text = field("sigterm_connected_ms", request.incoming.connectedAt)
+                       + field("sigterm_received_ms", request.incoming.receivedAt)
+                       + field("sigterm_read_ms", request.submittedAt);
+    if (request.attemptCount > 0)
+        text += field("sigterm_sent_ms", request.sentAt);
+    return text + field("sigterm_ended_ms", m_loop.now());
+}
+
 Forwarder::RequestId Forwarder::submit(IncomingRequest incoming)
 {
     const RequestId id = m_nextId++;
     auto newRequest = std::make_unique<Request>();
     Request &request = *newRequest;
     request.id = id;
+    request.submittedAt = m_loop.now();
     request.incoming = std::move(incoming);
     if (const std::string *requestIdField = request.incoming.head.fields.find(m_names.requestId))
         request.callerRequestId = *requestIdField;
     request.routing = m_routing;
     m_requests.emplace(id, std::move(newRequest));
+    if (m_shutdown && request.submittedAt >= m_shutdown->acceptUntil) {
+        refuse(request, ErrorKind::Leaving);
+        return id;
+    }
     if (!m_routing) {
         refuse(request, ErrorKind::NoConfiguration, noTargetRetryAfter);
         return id;
@@ -178,6 +199,11 @@
             kind, m_runTimeEstimator.typicalRun(kind, target.region), m_loop.now());
 }
 
+Time Forwarder::endOfService(Time deadline) const
+{
+    return m_shutdown ? std::min(deadline, m_shutdown->endRequestsAt) : deadline;
+}
+
 void Forwarder::dispatch(Request &request)
 {
     const Time now = m_loop.now();
@@ -193,9 +219,12 @@
             loads.push_back({ candidate->concurrencyLimiter.expectedWait(request.priority),
                               expectedRun(request, *candidate) });
         const TargetDecision decision
-                = chooseCandidate(loads, request.softDeadline - now, request.deadline - now);
+                = chooseCandidate(loads, endOfService(request.softDeadline) - now,
+                                  endOfService(request.deadline) - now);
         if (!decision.candidate) {
-            refuse(request, ErrorKind::QueueFull, decision.retryAfter,
+            const bool endsTooSoon = endOfService(request.softDeadline) < request.softDeadline;
+            refuse(request, endsTooSoon ? ErrorKind::Leaving : ErrorKind::QueueFull,
+                   endsTooSoon ? Duration::zero() : decision.retryAfter,
                    describeCandidates(candidates, loads));
             return;
         }
@@ -221,7 +250,7 @@
     request.queueTimer
             = std::make_unique<Timer>(m_loop, [this, &request] { handleQueueTimeout(request); });
     request.queueTimer->startOnce(
-            std::max(Duration::zero(), request.softDeadline - run - m_loop.now()));
+            std::max(Duration::zero(), endOfService(request.softDeadline) - run - m_loop.now()));
 }
 
 // The queue was slower than expected: tries another candidate, or refuses the request.
@@ -320,7 +349,7 @@
             << std::chrono::duration_cast<milliseconds>(now - request.incoming.receivedAt).count()
             << " retry_after_ms=" << std::chrono::duration_cast<milliseconds>(retryAfter).count()
             << " config_revision=" << (request.routing ? request.routing->revision() : 0)
-            << (detail.empty() ? "" : " ") << detail;
+            << (detail.empty() ? "" : " ") << detail << shutdownTimeline(request);
     m_metrics.countRefusal(kind, routeName, organisationName(request));
     LocalReply reply
             = makeRefusal(kind, status, m_names.requestId, request.callerRequestId, retryAfter);
--- a/tests/EdgeFixture.cpp
+++ b/tests/EdgeFixture.cpp
@@ -128,6 +128,16 @@
     runOnLoop([this] { m_server->stopAccepting(); });
 }
 
+void EdgeFixture::beginShutdown(const ShutdownSchedule &schedule)
+{
+    runOnLoop([&] { m_forwarder->beginShutdown(schedule); });
+}
+
+void EdgeFixture::abortAll()
+{
+    runOnLoop([this] { m_forwarder->abortAll(); });
+}
+
 std::size_t EdgeFixture::openRequests()
 {
     std::size_t count = 0;
