Answer a request that crosses the end of acceptance on an idle connection

Cause: when the VM stopped accepting, a connection without a request that had been used or accepted less than a second before was shut down at once and then read for up to another second, so that its last response could not be discarded. A request that crossed the shutdown was read and dropped. The caller could not tell it from an accepted one, and on a link with a queue the end of stream came late.

Change: such a connection stays open until it has been idle for that second. A request that still arrives goes to the handler, which refuses it as not run, and the connection closes after that response. After the second it is closed without reading, as before.

Tests: "a request that crosses the end of acceptance on an idle connection is answered" got an end of stream without a response on the code before.

--- a/src/edge/CallerConnection.cpp
+++ b/src/edge/CallerConnection.cpp
@@ -34,12 +34,14 @@
 {
     if (m_isLingering || m_isClosed)
         return;
+    if (m_pendingResponses.empty()) {
+        m_closesWhenIdle = true;
+        tick(now);
+        return;
+    }
     m_acceptsInput = false;
     m_input.clear();
-    if (m_pendingResponses.empty())
-        closeIdle(now);
-    else
-        m_pendingResponses.back().closesConnection = true;
+    m_pendingResponses.back().closesConnection = true;
 }
 
 void CallerConnection::handleData(std::string_view bytes)
@@ -224,16 +226,6 @@
     closeNow();
 }
 
-void CallerConnection::closeIdle(Time now)
-{
-    // Closing at once could discard a response that is still in transit to the caller.
-    const bool wasDelivered = now - m_idleSince > lingerTimeout;
-    if (wasDelivered && m_stream->pendingOutput() == 0)
-        closeNow();
-    else
-        closeAfterOutput();
-}
-
 void CallerConnection::closeAfterOutput()
 {
     m_acceptsInput = false;
@@ -279,13 +271,13 @@
             refuseInput(ErrorKind::HeadTimeout);
         return;
     }
-    if (now - m_idleSince <= limits.idleTimeout || !m_pendingResponses.empty()
-        || m_stream->pendingOutput() > 0)
-        return;
-    if (m_parser.hasPartialMessage())
+    // Closing earlier could discard a response that is still in transit to the caller.
+    const bool closesSoon = m_closesWhenIdle && !m_parser.hasPartialMessage();
+    const Duration idleTimeout
+            = closesSoon ? lingerTimeout : std::max<Duration>(limits.idleTimeout, lingerTimeout);
+    if (now - m_idleSince > idleTimeout && m_pendingResponses.empty()
+        && m_stream->pendingOutput() == 0)
         closeNow();
-    else
-        closeIdle(now);
 }
 
 } // namespace basildeck
--- a/src/edge/CallerConnection.h
+++ b/src/edge/CallerConnection.h
@@ -54,9 +54,13 @@
     CallerConnection(const CallerConnection &) = delete;
     CallerConnection &operator=(const CallerConnection &) = delete;
 
-    // Enforces the header and idle timeouts.
+    // Enforces the header and idle timeouts. An idle connection is closed without reading input
+    // that arrives meanwhile, so the caller cannot take a request in that input for an accepted
+    // one.
     void tick(Time now);
-    // Accepts no further requests, and closes once the pending ones are answered.
+    // Reads no further requests if some are pending, and closes once those are answered. Without a
+    // pending request, one that is in transit is still read, and answered by the handler; the
+    // connection closes after that response, or when it has been idle for the linger timeout.
     void stopAcceptingRequests(Time now);
 
 private:
@@ -86,10 +90,6 @@
     void abortResponse();
     void flushResponses();
 
-    // Closes a connection without pending requests. If it was idle for long, it is closed at once,
-    // leaving unread any input that arrives meanwhile, so the caller cannot take a request in that
-    // input for an accepted one.
-    void closeIdle(Time now);
     void closeAfterOutput();
     void closeNow();
 
@@ -108,6 +108,7 @@
     Time m_messageStart;
     Time m_lingerUntil;
     bool m_acceptsInput = true; // false once the connection is about to close
+    bool m_closesWhenIdle = false;
     bool m_isLingering = false;
     bool m_isClosed = false;
 };
--- a/src/edge/EdgeServer.cpp
+++ b/src/edge/EdgeServer.cpp
@@ -57,6 +57,7 @@
 void EdgeServer::stopAccepting()
 {
     m_listener.reset();
+    closeAfterResponses();
     for (CallerConnection *connection : openConnections())
         connection->stopAcceptingRequests(m_context.loop.now());
 }
--- a/src/edge/EdgeServer.h
+++ b/src/edge/EdgeServer.h
@@ -23,7 +23,8 @@
     void setLimits(const CallerLimits &limits) { m_context.limits = limits; }
     // Closes each connection after its current responses.
     void closeAfterResponses() { m_context.closeAfterResponse = true; }
-    // Accepts no more connections and requests. Connections close once their requests are answered.
+    // Accepts no more connections, and closes the open ones: after the responses to their requests,
+    // or once no further request can be in transit.
     void stopAccepting();
     std::size_t connectionCount() const { return m_connections.size(); }
 
--- a/tests/EdgeShutdownTest.cpp
+++ b/tests/EdgeShutdownTest.cpp
@@ -34,6 +34,24 @@
     CHECK(fixture.openRequests() == 0);
 }
 
+TEST_CASE("a request that crosses the end of acceptance on an idle connection is answered")
+{
+    EdgeFixture fixture;
+    auto caller = fixture.sendAsCaller(EdgeFixture::request("GET", "/safe/", "r1"));
+    auto received = fixture.awaitRequest();
+    received.socket->send(EdgeFixture::sealedResponse("r1", "x"));
+    CHECK(completeResponse(*caller).body == "x");
+    const Time now = Clock::now();
+    fixture.beginShutdown({ now, now, now, now + seconds(60) });
+    fixture.stopAccepting();
+    caller->send(EdgeFixture::request("POST", "/unsafe/", "r2", {}, "order"));
+    const RawResponse response = completeResponse(*caller);
+    CHECK(response.head.status() == 503);
+    CHECK(response.head.header("request-id") == "r2");
+    CHECK(response.head.header("connection") == "close");
+    CHECK_FALSE(caller->receive());
+}
+
 TEST_CASE("a request that cannot end before the shutdown does is refused and not cut off")
 {
     EdgeFixture fixture;
