Leave the end of the grace period to the delivery of responses

Callers saw: a response that a slow caller was still reading ended with the process (LOST by its kind; suspected from the code and from one log, where the process exits 0.25 s after it ended the remaining requests with 0.55 s of the grace left; not reproduced in a test of the whole process).

Cause: after the remaining requests were ended, the next periodic check stopped the loop, whether or not their responses and the ones queued behind them had left the process.

Change: the schedule of the shutdown has a time of its own for the exit, 0.3 s before the end of the grace (a twentieth of a short one). Until then the process exits only when all connections are closed.

Test: the schedule leaves most of the time after the remaining requests are ended to their callers; the suites about connections and shutdown pass.

--- a/src/decide/ShutdownSchedule.h
+++ b/src/decide/ShutdownSchedule.h
@@ -13,11 +13,14 @@
     static constexpr Duration maxAcceptTime = milliseconds(2500);
     // Limits the time that is reserved for delivering the responses to the remaining requests.
     static constexpr Duration maxDeliveryTime = milliseconds(900);
+    // Limits the time that is reserved for the exit of the process.
+    static constexpr Duration maxExitTime = milliseconds(300);
 
     Time signalledAt;           // the process received SIGTERM
     Time closeAfterResponsesAt; // connections close after their responses from now on
     Time acceptUntil;           // requests that arrive later are refused
     Time endRequestsAt;         // requests that are still running are ended
+    Time exitAt;                // the process exits even if output is not delivered yet
 
     // Divides the grace period, after which the platform kills the process.
     static ShutdownSchedule make(Time signalledAt, Duration grace);
--- a/src/edge/EdgeProcess.cpp
+++ b/src/edge/EdgeProcess.cpp
@@ -324,6 +324,8 @@
         m_forwarder.abortAll();
         return;
     }
+    if (!isDone && now < m_shutdown->exitAt)
+        return;
     BASILDECK_INFO(logComponent) << "left open_requests=" << m_forwarder.openRequests()
                                  << " connections=" << m_callerServer->connectionCount();
     m_loop.stop();
--- a/tests/EdgeShutdownTest.cpp
+++ b/tests/EdgeShutdownTest.cpp
@@ -42,7 +42,7 @@
     received.socket->send(EdgeFixture::sealedResponse("r1", "x"));
     CHECK(completeResponse(*caller).body == "x");
     const Time now = Clock::now();
-    fixture.beginShutdown({ now, now, now, now + seconds(60) });
+    fixture.beginShutdown({ now, now, now, now + seconds(60), now + seconds(60) });
     fixture.stopAccepting();
     caller->send(EdgeFixture::request("POST", "/unsafe/", "r2", {}, "order"));
     const RawResponse response = completeResponse(*caller);
@@ -56,7 +56,7 @@
 {
     EdgeFixture fixture;
     const Time now = Clock::now();
-    fixture.beginShutdown({ now - seconds(3), now, now + seconds(60), now });
+    fixture.beginShutdown({ now - seconds(3), now, now + seconds(60), now, now + seconds(60) });
     auto caller = fixture.sendAsCaller(EdgeFixture::request("GET", "/safe/", "long"));
     CHECK(completeResponse(*caller).head.status() == 503);
     CHECK(fixture.openRequests() == 0);
--- a/tests/ShutdownScheduleTest.cpp
+++ b/tests/ShutdownScheduleTest.cpp
@@ -22,7 +22,9 @@
         CHECK(schedule.acceptUntil + signalLatency <= signalledAt + maxExcusedSendTime);
         CHECK(schedule.acceptUntil <= signalledAt + grace / 2);
         CHECK(schedule.endRequestsAt >= signalledAt + grace * 5 / 6);
-        CHECK(schedule.endRequestsAt < signalledAt + grace);
+        CHECK(schedule.exitAt < signalledAt + grace);
+        // Most of the time after the remaining requests are ended is left to their callers.
+        CHECK(schedule.exitAt - schedule.endRequestsAt > signalledAt + grace - schedule.exitAt);
         CHECK(schedule.closeAfterResponsesAt < schedule.acceptUntil);
     }
 }
@@ -33,7 +35,8 @@
     CHECK(schedule.nextPhaseAfter(schedule.signalledAt) == schedule.closeAfterResponsesAt);
     CHECK(schedule.nextPhaseAfter(schedule.closeAfterResponsesAt) == schedule.acceptUntil);
     CHECK(schedule.nextPhaseAfter(schedule.acceptUntil) == schedule.endRequestsAt);
-    CHECK(schedule.nextPhaseAfter(schedule.endRequestsAt) == schedule.endRequestsAt);
+    CHECK(schedule.nextPhaseAfter(schedule.endRequestsAt) == schedule.exitAt);
+    CHECK(schedule.nextPhaseAfter(schedule.exitAt) == schedule.exitAt);
 }
 
 TEST_SUITE_END();
