Do not name a VM that shuts down in its own lookups

Cause: a VM that knows no serving peer, because it is cut off or all others shut down as well, answered lookups with its own address, shutting down or not.

Change: such a lookup is refused with 503 and a log line, so that the caller asks another VM. The choice of VMs is a function of the peer table.

Test: "a VM that shuts down is not named in lookups, even if no other VM is known" (the choice was not a function before, so this test has no run on the old code); 34 cases of the peer table and the edge pass.

--- a/src/decide/PeerTable.cpp
+++ b/src/decide/PeerTable.cpp
@@ -171,6 +171,19 @@
     return newest;
 }
 
+std::vector<DirectoryEntry> directoryEntries(const std::optional<DirectoryEntry> &self,
+                                             const std::vector<const Heartbeat *> &reachable)
+{
+    std::vector<DirectoryEntry> entries;
+    if (self)
+        entries.push_back(*self);
+    for (const Heartbeat *peer : reachable) {
+        if (!peer->leaving)
+            entries.push_back({ peer->callerAddress, peer->region, peer->zone });
+    }
+    return entries;
+}
+
 std::vector<std::string> directoryAddresses(const std::vector<DirectoryEntry> &serving,
                                             const std::string &callerRegion, std::size_t maxCount)
 {
--- a/src/decide/PeerTable.h
+++ b/src/decide/PeerTable.h
@@ -138,6 +138,11 @@
     std::string zone;
 };
 
+// The VMs that lookups may name: this one, unless it is shutting down, and the reachable ones that
+// are not. May be empty.
+std::vector<DirectoryEntry> directoryEntries(const std::optional<DirectoryEntry> &self,
+                                             const std::vector<const Heartbeat *> &reachable);
+
 // Caller addresses of the VMs that callers of a region are to use: those of their region if it has
 // any, else all.
 std::vector<std::string> directoryAddresses(const std::vector<DirectoryEntry> &serving,
--- a/src/edge/EdgeProcess.cpp
+++ b/src/edge/EdgeProcess.cpp
@@ -163,8 +163,7 @@
         sendControlResponse(sink, isReady() ? 200 : 503, "text/plain",
                             isReady() ? "ready\n" : "not ready\n");
     } else if (const auto query = m_format.lookups.parseLookup(target)) {
-        ++m_lookupCount;
-        sendControlResponse(sink, 200, "application/json", lookupResponse(*query));
+        sendLookupResponse(sink, *query);
     } else if (target.starts_with(ReplicaRelay::path)) {
         return m_view->relay().handle(std::string_view(target).substr(ReplicaRelay::path.size()),
                                       sink);
@@ -179,22 +178,23 @@
     return 0;
 }
 
-std::string EdgeProcess::lookupResponse(const LookupQuery &query)
+void EdgeProcess::sendLookupResponse(const ResponseSink &sink, const LookupQuery &query)
 {
-    std::vector<DirectoryEntry> entries;
+    ++m_lookupCount;
+    std::optional<DirectoryEntry> self;
     if (!m_shutdown)
-        entries.push_back(
-                { m_settings.callerAddress.toString(), m_settings.region, m_settings.zone });
-    for (const Heartbeat *peer : m_peers.reachable(m_loop.now())) {
-        if (!peer->leaving)
-            entries.push_back({ peer->callerAddress, peer->region, peer->zone });
+        self = { m_settings.callerAddress.toString(), m_settings.region, m_settings.zone };
+    const auto entries = directoryEntries(self, m_peers.reachable(m_loop.now()));
+    if (entries.empty()) {
+        BASILDECK_WARNING(logComponent) << "lookup refused, no serving VM is known";
+        sendControlResponse(sink, 503, "text/plain", "no serving VM is known\n");
+        return;
     }
-    if (entries.empty())
-        entries.push_back(
-                { m_settings.callerAddress.toString(), m_settings.region, m_settings.zone });
     const Duration ttl = std::min(lookupTtl, m_settings.bounds.maxLookupTtl);
-    return m_format.lookups.formatLookupResponse(
-            directoryAddresses(entries, query.region, maxLookupAddresses), ttl);
+    sendControlResponse(
+            sink, 200, "application/json",
+            m_format.lookups.formatLookupResponse(
+                    directoryAddresses(entries, query.region, maxLookupAddresses), ttl));
 }
 
 std::string EdgeProcess::metricsText() const
--- a/src/edge/EdgeProcess.h
+++ b/src/edge/EdgeProcess.h
@@ -67,7 +67,8 @@
     std::uint64_t handleControlRequest(const IncomingRequest &request);
     void sendControlResponse(const ResponseSink &sink, int status, const std::string &type,
                              const std::string &body);
-    std::string lookupResponse(const LookupQuery &query);
+    // Refuses the lookup if no VM that serves is known, so that the caller asks another one.
+    void sendLookupResponse(const ResponseSink &sink, const LookupQuery &query);
     std::string metricsText() const;
 
     void tick();
--- a/tests/PeerTableTest.cpp
+++ b/tests/PeerTableTest.cpp
@@ -107,6 +107,17 @@
     CHECK(table.peerWithNewestReplica("config", 9, now, { "a" }) == nullptr);
 }
 
+TEST_CASE("a VM that shuts down is not named in lookups, even if no other VM is known")
+{
+    const DirectoryEntry self{ "s", "north", "n1" };
+    Heartbeat leaving = makeHeartbeat("a", 1, 1);
+    leaving.leaving = true;
+    const Heartbeat serving = makeHeartbeat("b", 1, 1);
+    CHECK(directoryEntries(std::nullopt, { &leaving }).empty());
+    CHECK(directoryEntries(std::nullopt, { &leaving, &serving }).size() == 1);
+    CHECK(directoryEntries(self, { &leaving }).size() == 1);
+}
+
 TEST_CASE("callers get the VMs of their region, and others only if it has none")
 {
     const std::vector<DirectoryEntry> serving = { { "x", "north", "n1" }, { "y", "south", "s1" } };
