--- a/src/edge/CallerConnection.cpp
+++ b/src/edge/CallerConnection.cpp
@@ -1,10 +1,18 @@
 #include "edge/CallerConnection.h"
 
+#include "core/Log.h"
+
 #include <algorithm>
 #include <utility>
 
 namespace basildeck {
 
+namespace {
+
+constexpr const char *logComponent = "caller";
+
+} // namespace
+
 CallerConnection::CallerConnection(CallerContext &context, int descriptor,
                                    std::function<void()> onClosed)
     : m_context(context)
@@ -47,8 +55,12 @@
 void CallerConnection::handleData(std::string_view bytes)
 {
     m_lastInput = m_idleSince = m_context.loop.now();
-    if (!m_acceptsInput)
+    if (!m_acceptsInput) {
+        if (m_isLingering && !std::exchange(m_hasDiscardedInput, true))
+            BASILDECK_INFO(logComponent)
+                    << "input after the last response discarded bytes=" << bytes.size();
         return;
+    }
     if (!m_parser.hasPartialMessage() && m_input.empty())
         m_messageStart = m_lastInput;
     m_input.append(bytes);
@@ -246,6 +258,9 @@
     if (std::exchange(m_isClosed, true))
         return;
     m_acceptsInput = false;
+    if (m_stream->pendingOutput() > 0)
+        BASILDECK_INFO(logComponent)
+                << "connection closed with unsent output bytes=" << m_stream->pendingOutput();
     m_context.bufferedBodyBytes -= std::exchange(m_incomingBodyBytes, 0);
     m_stream->close();
     const auto pending = std::exchange(m_pendingResponses, {});
--- a/src/edge/CallerConnection.h
+++ b/src/edge/CallerConnection.h
@@ -62,6 +62,8 @@
     // pending request, one that is in transit is still read, and answered by the handler; the
     // connection closes after that response, or when it has been idle for the linger timeout.
     void stopAcceptingRequests(Time now);
+    // Output that the kernel has not taken yet.
+    std::size_t unsentBytes() const { return m_stream->pendingOutput(); }
 
 private:
     struct PendingResponse
@@ -109,6 +111,7 @@
     Time m_lingerUntil;
     bool m_acceptsInput = true; // false once the connection is about to close
     bool m_closesWhenIdle = false;
+    bool m_hasDiscardedInput = false;
     bool m_isLingering = false;
     bool m_isClosed = false;
 };
--- a/src/edge/EdgeProcess.cpp
+++ b/src/edge/EdgeProcess.cpp
@@ -288,8 +288,10 @@
 
 void EdgeProcess::beginShutdown()
 {
-    if (m_shutdown)
+    if (m_shutdown) {
+        BASILDECK_INFO(logComponent) << "signal ignored, already leaving";
         return;
+    }
     BASILDECK_INFO(logComponent) << "leaving open_requests=" << m_forwarder.openRequests();
     m_shutdown = ShutdownSchedule::make(m_loop.now(), m_settings.bounds.shutdownGrace);
     m_forwarder.beginShutdown(*m_shutdown);
@@ -327,7 +329,8 @@
     if (!isDone && now < m_shutdown->exitAt)
         return;
     BASILDECK_INFO(logComponent) << "left open_requests=" << m_forwarder.openRequests()
-                                 << " connections=" << m_callerServer->connectionCount();
+                                 << " connections=" << m_callerServer->connectionCount()
+                                 << " unsent_bytes=" << m_callerServer->unsentBytes();
     m_loop.stop();
 }
 
--- a/src/edge/EdgeServer.cpp
+++ b/src/edge/EdgeServer.cpp
@@ -54,6 +54,14 @@
     return connections;
 }
 
+std::size_t EdgeServer::unsentBytes() const
+{
+    std::size_t bytes = 0;
+    for (const auto &[id, connection] : m_connections)
+        bytes += connection->unsentBytes();
+    return bytes;
+}
+
 void EdgeServer::stopAccepting()
 {
     m_listener.reset();
--- a/src/edge/EdgeServer.h
+++ b/src/edge/EdgeServer.h
@@ -27,6 +27,8 @@
     // or once no further request can be in transit.
     void stopAccepting();
     std::size_t connectionCount() const { return m_connections.size(); }
+    // Output of all connections that the kernel has not taken yet.
+    std::size_t unsentBytes() const;
 
 private:
     EdgeServer(EventLoop &loop, RequestHandler handler, std::size_t maxBufferedBodyBytes);
