Accept no request behind a response that announces the close

Cause: while connections close after their responses, the last response gets `Connection: close` when its head is written, but the connection went on accepting requests. The head waits behind earlier responses, or the body is still streamed, and a request that arrives meanwhile was passed on. When the announced response ended, the connection was closed and the request cancelled.

Change: the connection accepts no input from the announcement on. What the caller sends behind it was not passed on, and callers send that again.

Test: "no request is accepted behind a response that announces the close of its connection" got 3 requests in place of 2 on the code before. 30 cases of the suites about callers and the edge pass.

--- a/src/edge/CallerConnection.cpp
+++ b/src/edge/CallerConnection.cpp
@@ -176,8 +176,10 @@
     // Only the last response may close the connection; the caller would have to repeat requests
     // that it sent after it.
     const bool isLast = pending == &m_pendingResponses.back() && m_input.empty();
-    if (m_context.closeAfterResponse && isLast)
+    if (m_context.closeAfterResponse && isLast) {
         pending->closesConnection = true;
+        m_acceptsInput = false;
+    }
     pending->hasHead = true;
     pending->output += head;
     if (pending->closesConnection)
--- a/tests/CallerConnectionTest.cpp
+++ b/tests/CallerConnectionTest.cpp
@@ -35,13 +35,34 @@
         REQUIRE(m_responseSink);
     }
 
+    // The sink of the last request.
+    ResponseSink responseSink() const { return *m_responseSink; }
+    std::size_t requestCount() const { return m_requestCount; }
+
+    static void respond(const ResponseSink &sink)
+    {
+        sink.head("HTTP/1.1 204 No Content\r\n");
+        sink.finish(false);
+    }
+
     void respond()
     {
-        m_responseSink->head("HTTP/1.1 204 No Content\r\n");
-        m_responseSink->finish(false);
+        respond(*m_responseSink);
         m_responseSink.reset();
     }
 
+    // Sends a request that the connection is expected to leave unhandled.
+    void sendUnhandledRequest()
+    {
+        const std::string_view bytes = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+        REQUIRE(write(m_caller, bytes.data(), bytes.size()) == static_cast<ssize_t>(bytes.size()));
+        uv_run(m_loop.handle(), UV_RUN_NOWAIT);
+        uv_run(m_loop.handle(), UV_RUN_NOWAIT);
+    }
+
+    // The server closes connections after their responses.
+    void announceClose() { m_context.closeAfterResponse = true; }
+
     // As EdgeServer does it.
     void stopAccepting()
     {
@@ -71,8 +92,9 @@
     {
         return { [this](IncomingRequest request) {
                     m_responseSink = std::move(request.sink);
+                    ++m_requestCount;
                     m_loop.stop();
-                    return 1;
+                    return m_requestCount;
                 },
                  [](const ResponseSink &, ErrorKind) {}, [](std::uint64_t) {},
                  [](std::uint64_t) {} };
@@ -81,6 +103,7 @@
     EventLoop m_loop;
     CallerContext m_context;
     std::optional<ResponseSink> m_responseSink;
+    std::uint64_t m_requestCount = 0;
     int m_caller = -1;
     bool m_isClosed = false;
     std::unique_ptr<CallerConnection> m_connection;
@@ -138,6 +161,21 @@
     CHECK(fixture.callerSeesClose());
 }
 
+TEST_CASE("no request is accepted behind a response that announces the close of its connection")
+{
+    ConnectionFixture fixture;
+    fixture.sendRequest();
+    const ResponseSink first = fixture.responseSink();
+    fixture.sendRequest();
+    const ResponseSink second = fixture.responseSink();
+    fixture.announceClose();
+    ConnectionFixture::respond(second); // waits for the first response
+    fixture.sendUnhandledRequest();
+    CHECK(fixture.requestCount() == 2);
+    ConnectionFixture::respond(first);
+    CHECK(fixture.callerSeesClose());
+}
+
 TEST_CASE("a request that crosses the end of acceptance is read and its response closes")
 {
     ConnectionFixture fixture;
