Soak: shutdowns under long runs and the check checkShutdown

Seen by callers: a request that was taken long after SIGTERM was given up: 504 in place of the answer of the target that was at work on it.

Cause: the soak had runs of 20 ms only, and no check of what is cut off around a SIGTERM.

Change: two routes with runs of up to 5 s (timeout 8 s) to targets without faults. Their callers keep to a VM until its process is gone, pipeline, pause in the middle of a body, read slowly, and visit a VM that has just received SIGTERM. Faults: a second SIGTERM, SIGTERM in the first second of a start, a rolling stop. After the recovery all VMs are stopped while these callers go on. checkShutdown tells of each request that a target ran and that received no answer of that target, up to 1 s after the grace. Exempt: 8 s were over, the VM was killed or paused within 4 s, or the target was still at work 5 s after the SIGTERM on a request whose last byte was sent no later than 3 s after it. The checks have a file of their own. Callers and targets draw from a generator of their own, so the kinds of faults follow from the seed alone. Pending calls are cancelled before their loop ends; with long runs, they were called in the destructor of the loop.

--- a/tools/soak/FaultProxy.cpp
+++ b/tools/soak/FaultProxy.cpp
@@ -6,21 +6,31 @@
 
 constexpr Duration forwardingDelay = milliseconds(120);
 
+std::map<std::uint64_t, std::unique_ptr<Timer>> &pendingCalls()
+{
+    static std::map<std::uint64_t, std::unique_ptr<Timer>> calls;
+    return calls;
+}
+
 } // namespace
 
 void callLater(EventLoop &loop, Duration delay, std::function<void()> function)
 {
-    // The callback of the timer holds a reference to it, so the timer lives until it has fired.
-    struct Call
-    {
-        std::unique_ptr<Timer> timer;
-    };
-    auto call = std::make_shared<Call>();
-    call->timer = std::make_unique<Timer>(loop, [&loop, call, function = std::move(function)] {
+    static std::uint64_t nextNumber = 0;
+    const std::uint64_t number = nextNumber++;
+    auto timer = std::make_unique<Timer>(loop, [&loop, number, function = std::move(function)] {
+        const auto call = pendingCalls().find(number);
+        loop.deleteLater(std::move(call->second));
+        pendingCalls().erase(call);
         function();
-        loop.deleteLater(std::move(call->timer));
     });
-    call->timer->startOnce(delay);
+    timer->startOnce(delay);
+    pendingCalls()[number] = std::move(timer);
+}
+
+void cancelCalls()
+{
+    pendingCalls().clear();
 }
 
 std::unique_ptr<FaultProxy> FaultProxy::make(EventLoop &loop, const Address &listenAddress,
--- a/tools/soak/FaultProxy.h
+++ b/tools/soak/FaultProxy.h
@@ -56,5 +56,7 @@
 
 // Calls a function once after a delay.
 void callLater(EventLoop &loop, Duration delay, std::function<void()> function);
+// Cancels the pending calls of callLater. Must be called before their event loop is destroyed.
+void cancelCalls();
 
 } // namespace basildeck::soak
--- a/tools/soak/Soak.cpp
+++ b/tools/soak/Soak.cpp
@@ -1,7 +1,6 @@
 #include "soak/Soak.h"
 
-#include "soak/SoakCallers.h"
-#include "soak/SoakTargets.h"
+#include "soak/SoakChecks.h"
 
 #include <algorithm>
 #include <csignal>
@@ -20,14 +19,18 @@
 constexpr Duration warmUp = seconds(3);
 constexpr Duration meanFaultInterval = milliseconds(500);
 constexpr Duration maxFaultDuration = milliseconds(3000);
-// The platform's bounds, with the values that its settings have.
+constexpr std::size_t longTargetCount = 3;
 constexpr Duration recoveryBound = seconds(15);
-constexpr Duration settlingTime = seconds(4);
-constexpr Duration drainBound = milliseconds(2500);
-constexpr Duration quotaWindow = seconds(5);
 constexpr Duration steadyPhase = seconds(3);
-// The least fraction of the requests without a quota that is served after the recovery.
-constexpr double minServedRatio = 0.95;
+constexpr Duration maxSecondSigtermDelay = seconds(3);
+constexpr std::size_t maxRollingStopSize = 4;
+constexpr Duration maxRollingStopInterval = milliseconds(900);
+constexpr Duration maxEarlySigtermDelay = seconds(1);
+// One of this many processes receives SIGTERM in the first second after its start.
+constexpr std::size_t earlySigtermPeriod = 5;
+// Draws of callers and targets depend on timing. A generator of their own keeps the sequence of
+// faults a function of the seed.
+constexpr std::uint64_t trafficSeedOffset = 1000003;
 
 class Soak
 {
@@ -35,6 +38,7 @@
     explicit Soak(const SoakOptions &options)
         : m_options(options)
         , m_random(options.seed)
+        , m_trafficRandom(options.seed + trafficSeedOffset)
         , m_subnet(static_cast<int>(20 + options.seed % 200))
     {}
 
@@ -48,16 +52,22 @@
         pollTimer.startRepeating(milliseconds(50));
         callLater(m_loop, warmUp, [this] {
             m_callers->start(requestsPerSecond);
+            m_longCallers->start();
             m_faultPhaseEnd = m_loop.now() + m_options.faultDuration;
             injectFault();
         });
         m_loop.run();
-        checkInvariants();
+        cancelCalls();
+        const std::vector<std::string> violations
+                = checkInvariants({ *m_callers, *m_longCallers, *m_targets, *m_vms,
+                                    m_storeDisturbedUntil, m_steadyPhaseStart, m_steadyPhaseEnd });
+        m_violations.insert(m_violations.end(), violations.begin(), violations.end());
         std::ostringstream summary;
-        summary << m_callers->requests().size() << " requests, " << countStatus(200) << " served, "
-                << countStatus(429) << " over quota, " << countStatus(503) << " refused, "
-                << m_injectedFaultCount << " faults injected, " << m_violations.size()
-                << " violations";
+        summary << m_callers->requests().size() << " requests and "
+                << m_longCallers->requests().size() << " long ones, " << countStatus(200)
+                << " served, " << countStatus(429) << " over quota, " << countStatus(503)
+                << " refused, " << m_injectedFaultCount << " faults injected, "
+                << m_violations.size() << " violations";
         return { summary.str(), m_violations };
     }
 
@@ -80,9 +90,13 @@
         if (!m_store)
             return false;
         putConfig();
-        m_targets = std::make_unique<SoakTargets>(m_loop, *m_store, m_random);
+        m_targets = std::make_unique<SoakTargets>(m_loop, *m_store, m_trafficRandom);
         for (std::size_t i = 0; i < targetCount; ++i) {
-            if (!addTarget())
+            if (!addTarget("svc"))
+                return false;
+        }
+        for (std::size_t i = 0; i < longTargetCount; ++i) {
+            if (!addTarget(std::string(SoakTargets::longService)))
                 return false;
         }
         m_vms = std::make_unique<SoakVms>(m_loop, m_options.program, m_options.folder, m_subnet);
@@ -92,25 +106,29 @@
                             storeAddress))
                 return false;
         }
-        m_callers = std::make_unique<SoakCallers>(m_loop, *m_vms, m_random);
+        m_vms->setStartCallback([this](std::size_t vm) { handleVmStart(vm); });
+        m_callers = std::make_unique<SoakCallers>(m_loop, *m_vms, m_trafficRandom);
+        m_longCallers = std::make_unique<SoakLongCallers>(m_loop, *m_vms, m_trafficRandom());
         return true;
     }
 
-    bool addTarget()
+    bool addTarget(const std::string &service)
     {
         const std::size_t number = ++m_lastTargetNumber;
-        return m_targets->add("i-" + std::to_string(number),
+        return m_targets->add("i-" + std::to_string(number), service,
                               number % 2 == 0 ? "north-a" : "south-a",
                               { loopbackIp(3, number), 8080 }, { loopbackIp(4, number), 8080 });
     }
 
     void putConfig()
     {
-        const auto route = [](const std::string &prefix, const std::string &type) {
+        const std::string longService(SoakTargets::longService);
+        const auto route = [](const std::string &prefix, const std::string &type,
+                              const std::string &service, const std::string &timeout) {
             return json{ { "name", prefix },        { "host", "soak.example" },
                          { "path_prefix", prefix }, { "type", type },
-                         { "timeout", "1500ms" },   { "aim", "1000ms" },
-                         { "priority", 1 },         { "service", "svc" },
+                         { "timeout", timeout },    { "aim", "1000ms" },
+                         { "priority", 1 },         { "service", service },
                          { "attempts", 2 },         { "public", false },
                          { "affinity", true },      { "allowed_regions", json::array() } };
         };
@@ -125,8 +143,14 @@
         ++m_configVersion;
         m_store->put("config", "main",
                      { { "version", std::to_string(m_configVersion) },
-                       { "routes", { route("/safe/", "safe"), route("/unsafe/", "unsafe") } },
-                       { "services", { { { "name", "svc" }, { "max_connections", 390 } } } },
+                       { "routes",
+                         { route("/safe/", "safe", "svc", "1500ms"),
+                           route("/unsafe/", "unsafe", "svc", "1500ms"),
+                           route("/long/", "safe", longService, "8000ms"),
+                           route("/upload/", "unsafe", longService, "8000ms") } },
+                       { "services",
+                         { { { "name", "svc" }, { "max_connections", 390 } },
+                           { { "name", longService }, { "max_connections", 390 } } } },
                        { "limits",
                          { { "max_header_bytes", 16384 },
                            { "max_body_bytes", 1000000 },
@@ -145,7 +169,7 @@
         ++m_injectedFaultCount;
         const Duration duration
                 = milliseconds(300 + randomIndex(maxFaultDuration / milliseconds(1) - 300));
-        switch (randomIndex(6)) {
+        switch (randomIndex(7)) {
         case 0:
         case 1:
             injectVmFault(duration);
@@ -159,6 +183,9 @@
         case 4:
             injectTargetFault(duration);
             break;
+        case 5:
+            injectRollingStop();
+            break;
         default:
             injectFleetChange();
         }
@@ -182,8 +209,10 @@
             logEvent("SIGKILL " + name);
             m_vms->signal(vm, SIGKILL);
         } else if (kind == 1) {
-            logEvent("SIGTERM " + name);
-            m_vms->signal(vm, SIGTERM);
+            terminate(vm);
+            if (randomIndex(2) == 0)
+                callLater(m_loop, randomDuration(maxSecondSigtermDelay),
+                          [this, vm] { terminate(vm); });
         } else if (kind == 2) {
             logEvent("SIGHUP " + name);
             m_vms->signal(vm, SIGHUP);
@@ -194,6 +223,43 @@
         }
     }
 
+    Duration randomDuration(Duration max)
+    {
+        return milliseconds(randomIndex(max / milliseconds(1)));
+    }
+
+    void terminate(std::size_t vm)
+    {
+        logEvent("SIGTERM vm-" + std::to_string(vm + 1));
+        if (m_vms->isLeaving(vm)) {
+            m_vms->signal(vm, SIGTERM);
+            return;
+        }
+        m_vms->signal(vm, SIGTERM);
+        m_longCallers->visitLeavingVm(vm);
+    }
+
+    // Stops some VMs one after another while the earlier ones are still shutting down.
+    void injectRollingStop()
+    {
+        const std::size_t first = randomIndex(vmCount);
+        const std::size_t size = 2 + randomIndex(maxRollingStopSize - 1);
+        const Duration interval = randomDuration(maxRollingStopInterval);
+        logEvent("rolling stop of " + std::to_string(size) + " VMs");
+        for (std::size_t i = 0; i < size; ++i)
+            callLater(m_loop, static_cast<int>(i) * interval,
+                      [this, vm = (first + i) % vmCount] { terminate(vm); });
+    }
+
+    void handleVmStart(std::size_t vm)
+    {
+        if (m_loop.now() >= m_faultPhaseEnd || m_startCount++ % earlySigtermPeriod != 0)
+            return;
+        callLater(m_loop,
+                  milliseconds(m_trafficRandom() % (maxEarlySigtermDelay / milliseconds(1))),
+                  [this, vm] { terminate(vm); });
+    }
+
     void injectStoreFault(Duration duration)
     {
         static constexpr std::array<StoreMode, 3> modes
@@ -254,7 +320,7 @@
             const auto ids = m_targets->ids();
             const std::string &id = ids.at(randomIndex(ids.size()));
             logEvent("target " + id + " is replaced");
-            if (!addTarget())
+            if (!addTarget("svc"))
                 m_violations.emplace_back("the address of a new target is in use");
             m_targets->drain(id);
         } else if (kind == 2) {
@@ -290,7 +356,11 @@
     void shutDown()
     {
         m_callers->stop();
+        // The callers of long runs go on, so that each VM's last shutdown is checked without
+        // faults.
         m_vms->terminateAll();
+        for (std::size_t vm = 0; vm < vmCount; ++vm)
+            m_longCallers->visitLeavingVm(vm);
         waitForExit(m_loop.now() + SoakVms::shutdownGrace + seconds(3));
     }
 
@@ -299,7 +369,8 @@
         if (m_vms->allExited() || m_loop.now() >= deadline) {
             if (!m_vms->allExited())
                 m_violations.emplace_back("a process did not exit");
-            m_loop.stop();
+            // Leaves time to notice closed connections.
+            callLater(m_loop, milliseconds(200), [this] { m_loop.stop(); });
             return;
         }
         callLater(m_loop, milliseconds(100), [this, deadline] { waitForExit(deadline); });
@@ -311,103 +382,21 @@
                              [&](const auto &request) { return request.second.status == status; });
     }
 
-    void checkInvariants()
-    {
-        for (const auto *violations :
-             { &m_targets->violations(), &m_callers->violations(), &m_vms->violations() })
-            m_violations.insert(m_violations.end(), violations->begin(), violations->end());
-        checkExecutions();
-        checkQuota();
-        checkDraining();
-        checkRecovery();
-    }
-
-    void checkExecutions()
-    {
-        for (const auto &[id, execution] : m_targets->executions()) {
-            const auto request = m_callers->requests().find(id);
-            if (request == m_callers->requests().end()) {
-                m_violations.push_back(id + " was executed, but no caller sent it");
-                continue;
-            }
-            const int status = request->second.status;
-            if (request->second.unsafe && execution.executionCount > 1)
-                m_violations.push_back(id + " is not idempotent and was executed "
-                                       + std::to_string(execution.executionCount) + " times");
-            if (request->second.unsafe && (status == 429 || status == 503))
-                m_violations.push_back(id
-                                       + " was executed, but its caller was told that it was not");
-        }
-    }
-
-    void checkQuota()
-    {
-        std::vector<Time> startTimes;
-        for (const auto &[id, execution] : m_targets->executions()) {
-            if (execution.organisation == "limited")
-                startTimes.push_back(execution.firstStart);
-        }
-        std::sort(startTimes.begin(), startTimes.end());
-        const double maxInWindow
-                = (SoakCallers::limitedRate * toSeconds(quotaWindow) + SoakCallers::limitedBurst)
-                          * 1.1
-                  + 20;
-        for (std::size_t from = 0, to = 0; to < startTimes.size(); ++to) {
-            while (startTimes[to] - startTimes[from] > quotaWindow)
-                ++from;
-            if (static_cast<double>(to - from + 1) > maxInWindow) {
-                m_violations.push_back("quota exceeded: " + std::to_string(to - from + 1) + " of "
-                                       + std::to_string(maxInWindow) + " in a window");
-                return;
-            }
-        }
-    }
-
-    // The bound applies only while the VM has been in touch with the store: neither the VM, its
-    // store link nor the store was disturbed within the last settlingTime.
-    void checkDraining()
-    {
-        for (const SoakTargets::DrainingArrival &arrival : m_targets->drainingArrivals()) {
-            const auto request = m_callers->requests().find(arrival.requestId);
-            if (arrival.sinceDraining <= drainBound || request == m_callers->requests().end())
-                continue;
-            const Time disturbedUntil
-                    = std::max(m_vms->lastDisturbance(request->second.vm), m_storeDisturbedUntil);
-            if (arrival.time > disturbedUntil + settlingTime)
-                m_violations.push_back(arrival.requestId + " reached a target "
-                                       + std::to_string(toSeconds(arrival.sinceDraining))
-                                       + " s after the target started to drain");
-        }
-    }
-
-    void checkRecovery()
-    {
-        double sent = 0;
-        double served = 0;
-        for (const auto &[id, request] : m_callers->requests()) {
-            if (request.organisation == "limited" || request.sentAt < m_steadyPhaseStart
-                || request.sentAt > m_steadyPhaseEnd)
-                continue;
-            sent += 1;
-            served += request.status == 200 ? 1 : 0;
-        }
-        if (served < minServedRatio * sent || sent == 0)
-            m_violations.push_back("after the recovery only " + std::to_string(served) + " of "
-                                   + std::to_string(sent) + " requests were served");
-    }
-
     SoakOptions m_options;
     std::mt19937_64 m_random;
+    std::mt19937_64 m_trafficRandom;
     int m_subnet;
     EventLoop m_loop;
     std::unique_ptr<SoakStore> m_store;
     std::unique_ptr<SoakTargets> m_targets;
     std::unique_ptr<SoakVms> m_vms;
     std::unique_ptr<SoakCallers> m_callers;
+    std::unique_ptr<SoakLongCallers> m_longCallers;
     std::vector<std::string> m_violations;
     std::size_t m_lastTargetNumber = 0;
     int m_configVersion = 0;
     int m_injectedFaultCount = 0;
+    std::size_t m_startCount = 0;
     Time m_faultPhaseEnd{};
     Time m_storeDisturbedUntil{};
     Time m_steadyPhaseStart{};
--- /dev/null
+++ b/tools/soak/SoakChecks.cpp
@@ -0,0 +1,207 @@
+#include "soak/SoakChecks.h"
+
+#include <algorithm>
+#include <array>
+#include <sstream>
+
+namespace basildeck::soak {
+
+namespace {
+
+// The platform's bounds, with the values that its settings have.
+constexpr Duration settlingTime = seconds(4);
+constexpr Duration drainBound = milliseconds(2500);
+constexpr Duration quotaWindow = seconds(5);
+// Around a shutdown: until when requests are checked, until when the target's work excuses nothing,
+// and the last time of sending for which work at a target after that is an excuse.
+constexpr Duration shutdownCheckEnd = SoakVms::shutdownGrace + seconds(1);
+constexpr Duration lateWorkStart = SoakVms::shutdownGrace - SoakVms::shutdownGrace / 6;
+constexpr Duration excusedSendingEnd = seconds(3);
+// The timeout of the routes with long runs, and the time budget of their requests, are not shorter.
+constexpr Duration longRouteTimeout = milliseconds(7900);
+// The least fraction of the requests without a quota that is served after the recovery.
+constexpr double minServedRatio = 0.95;
+
+std::string_view habitName(CallerHabit habit)
+{
+    static constexpr std::array<std::string_view, 4> names
+            = { "plain", "pipelined", "split body", "slow reading" };
+    return names.at(static_cast<std::size_t>(habit));
+}
+
+class SoakChecks
+{
+public:
+    explicit SoakChecks(const SoakRecords &records)
+        : m_records(records)
+    {}
+
+    std::vector<std::string> run()
+    {
+        for (const auto *violations :
+             { &m_records.targets.violations(), &m_records.callers.violations(),
+               &m_records.longCallers.violations(), &m_records.vms.violations() })
+            m_violations.insert(m_violations.end(), violations->begin(), violations->end());
+        checkExecutions();
+        checkQuota();
+        checkDraining();
+        checkShutdown();
+        checkRecovery();
+        return m_violations;
+    }
+
+private:
+    void checkExecutions()
+    {
+        for (const auto &[id, execution] : m_records.targets.executions()) {
+            const auto &requests = m_records.callers.requests();
+            const auto &longRequests = m_records.longCallers.requests();
+            const auto request = requests.find(id);
+            const auto longRequest = longRequests.find(id);
+            if (request != requests.end())
+                checkExecution(id, execution, request->second.unsafe, request->second.status);
+            else if (longRequest != longRequests.end())
+                checkExecution(id, execution, longRequest->second.unsafe,
+                               longRequest->second.status);
+            else
+                m_violations.push_back(id + " was executed, but no caller sent it");
+        }
+    }
+
+    void checkExecution(const std::string &id, const ExecutionRecord &execution, bool isUnsafe,
+                        int status)
+    {
+        if (isUnsafe && execution.executionCount > 1)
+            m_violations.push_back(id + " is not idempotent and was executed "
+                                   + std::to_string(execution.executionCount) + " times");
+        if (isUnsafe && (status == 429 || status == 503))
+            m_violations.push_back(id + " was executed, but its caller was told that it was not");
+    }
+
+    void checkQuota()
+    {
+        std::vector<Time> startTimes;
+        for (const auto &[id, execution] : m_records.targets.executions()) {
+            if (execution.organisation == "limited")
+                startTimes.push_back(execution.firstStart);
+        }
+        std::sort(startTimes.begin(), startTimes.end());
+        const double maxInWindow
+                = (SoakCallers::limitedRate * toSeconds(quotaWindow) + SoakCallers::limitedBurst)
+                          * 1.1
+                  + 20;
+        for (std::size_t from = 0, to = 0; to < startTimes.size(); ++to) {
+            while (startTimes[to] - startTimes[from] > quotaWindow)
+                ++from;
+            if (static_cast<double>(to - from + 1) > maxInWindow) {
+                m_violations.push_back("quota exceeded: " + std::to_string(to - from + 1) + " of "
+                                       + std::to_string(maxInWindow) + " in a window");
+                return;
+            }
+        }
+    }
+
+    // The bound applies only while the VM has been in touch with the store: neither the VM, its
+    // store link nor the store was disturbed within the last settlingTime.
+    void checkDraining()
+    {
+        for (const SoakTargets::DrainingArrival &arrival : m_records.targets.drainingArrivals()) {
+            const auto request = m_records.callers.requests().find(arrival.requestId);
+            if (arrival.sinceDraining <= drainBound
+                || request == m_records.callers.requests().end())
+                continue;
+            const Time disturbedUntil = std::max(m_records.vms.lastDisturbance(request->second.vm),
+                                                 m_records.storeDisturbedUntil);
+            if (arrival.time > disturbedUntil + settlingTime)
+                m_violations.push_back(arrival.requestId + " reached a target "
+                                       + std::to_string(toSeconds(arrival.sinceDraining))
+                                       + " s after the target started to drain");
+        }
+    }
+
+    // Around a SIGTERM, a request that was passed on to a target receives the target's response. A
+    // VM that was killed or paused within the last settlingTime is exempt; the targets of long runs
+    // do not break off.
+    void checkShutdown()
+    {
+        for (const auto &[id, request] : m_records.longCallers.requests()) {
+            const auto sigterm = m_records.vms.process(request.vm, request.process).sigtermTime;
+            const auto execution = m_records.targets.executions().find(id);
+            const bool isAnswered = request.status != 0 && request.isSealed;
+            if (!sigterm || !request.endedAt || !request.lastByteAt || isAnswered
+                || execution == m_records.targets.executions().end())
+                continue;
+            const Time endedAt = *request.endedAt;
+            const bool isExempt = endedAt < *sigterm || endedAt > *sigterm + shutdownCheckEnd
+                                  || endedAt - request.firstByteAt >= longRouteTimeout
+                                  || isExcusedByLateWork(request, execution->second, *sigterm)
+                                  || m_records.vms.wasKilledOrPaused(
+                                          request.vm, request.firstByteAt - settlingTime, endedAt);
+            if (!isExempt)
+                m_violations.push_back(
+                        describeLostRequest(id, request, execution->second, *sigterm));
+        }
+    }
+
+    // Reading a response slowly keeps the target at work.
+    static bool isExcusedByLateWork(const LongRequestRecord &request,
+                                    const ExecutionRecord &execution, Time sigterm)
+    {
+        const bool isSlowlyRead
+                = request.habit == CallerHabit::SlowReading && execution.lastCompleted;
+        const Time workEnd
+                = isSlowlyRead ? *request.endedAt : execution.lastEnd.value_or(Time::max());
+        return *request.lastByteAt <= sigterm + excusedSendingEnd
+               && workEnd >= sigterm + lateWorkStart;
+    }
+
+    static std::string describeLostRequest(const std::string &id, const LongRequestRecord &request,
+                                           const ExecutionRecord &execution, Time sigterm)
+    {
+        std::ostringstream text;
+        text.precision(3);
+        text << std::fixed << id << " (" << habitName(request.habit)
+             << (request.isBehindAnother ? ", behind another" : "") << ") ";
+        if (request.status == 0)
+            text << "ended without a response";
+        else
+            text << "was answered " << request.status << " in place of its target";
+        text << " at vm-" << request.vm + 1 << "; after the SIGTERM: sent from "
+             << toSeconds(request.firstByteAt - sigterm) << " to "
+             << toSeconds(*request.lastByteAt - sigterm) << " s, at a target from "
+             << toSeconds(execution.lastStart - sigterm) << " s";
+        if (execution.lastEnd)
+            text << " to " << toSeconds(*execution.lastEnd - sigterm) << " s ("
+                 << (execution.lastCompleted ? "completed" : "broken off") << ")";
+        text << ", ended at " << toSeconds(*request.endedAt - sigterm) << " s";
+        return text.str();
+    }
+
+    void checkRecovery()
+    {
+        double sent = 0;
+        double served = 0;
+        for (const auto &[id, request] : m_records.callers.requests()) {
+            if (request.organisation == "limited" || request.sentAt < m_records.steadyPhaseStart
+                || request.sentAt > m_records.steadyPhaseEnd)
+                continue;
+            sent += 1;
+            served += request.status == 200 ? 1 : 0;
+        }
+        if (served < minServedRatio * sent || sent == 0)
+            m_violations.push_back("after the recovery only " + std::to_string(served) + " of "
+                                   + std::to_string(sent) + " requests were served");
+    }
+
+    const SoakRecords &m_records;
+    std::vector<std::string> m_violations;
+};
+
+} // namespace
+
+std::vector<std::string> checkInvariants(const SoakRecords &records)
+{
+    return SoakChecks(records).run();
+}
+
+} // namespace basildeck::soak
--- a/tools/soak/SoakTargets.cpp
+++ b/tools/soak/SoakTargets.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-constexpr int slots = 4;
+constexpr int usualSlots = 4;
+constexpr int longServiceSlots = 40;
 constexpr int queueSize = 8;
 constexpr Duration baseServiceTime = milliseconds(20);
 constexpr int slowFactor = 15;
@@ -20,6 +21,15 @@
     return value == nullptr ? std::string() : *value;
 }
 
+// The number after the slash that follows the prefix of a path, or after the one behind that.
+long pathNumber(const std::string &path, int index)
+{
+    std::size_t start = path.find('/', 1);
+    for (; index > 0 && start != std::string::npos; --index)
+        start = path.find('/', start + 1);
+    return start == std::string::npos ? 0 : std::strtol(path.c_str() + start + 1, nullptr, 10);
+}
+
 void sendResponse(const ResponseSink &sink, const std::string &head, const std::string &body)
 {
     sink.head(head + "Content-Length: " + std::to_string(body.size()) + "\r\n");
@@ -35,11 +45,13 @@
     , m_random(random)
 {}
 
-bool SoakTargets::add(const std::string &id, const std::string &zone, const Address &listenAddress,
-                      const Address &proxyAddress)
+bool SoakTargets::add(const std::string &id, const std::string &service, const std::string &zone,
+                      const Address &listenAddress, const Address &proxyAddress)
 {
     auto target = std::make_unique<Target>();
     target->id = id;
+    target->service = service;
+    target->slots = service == longService ? longServiceSlots : usualSlots;
     target->zone = zone;
     target->proxyAddress = proxyAddress;
     Target *raw = target.get();
@@ -49,7 +61,7 @@
               [](const ResponseSink &sink, ErrorKind) {
                   sendResponse(sink, "HTTP/1.1 400 X\r\n", "");
               },
-              [this](std::uint64_t exchangeId) { m_callerConnected[exchangeId] = false; },
+              [this](std::uint64_t exchangeId) { handleDisconnect(exchangeId); },
               [](std::uint64_t) {} },
             maxBodyBytes);
     target->proxy = FaultProxy::make(m_loop, proxyAddress, listenAddress);
@@ -64,11 +76,11 @@
 void SoakTargets::writeRegistration(const Target &target, const std::string &state)
 {
     m_store.put("servers", target.id,
-                { { "service", "svc" },
+                { { "service", target.service },
                   { "address", target.proxyAddress.toString() },
                   { "zone", target.zone },
                   { "version", "v1" },
-                  { "slots", slots },
+                  { "slots", target.slots },
                   { "state", state },
                   { "cold_remaining", "0ms" },
                   { "seq", 1 } });
@@ -97,8 +109,10 @@
 std::vector<std::string> SoakTargets::ids() const
 {
     std::vector<std::string> result;
-    for (const auto &[id, target] : m_targets)
-        result.push_back(id);
+    for (const auto &[id, target] : m_targets) {
+        if (target->service != longService)
+            result.push_back(id);
+    }
     return result;
 }
 
@@ -126,34 +140,53 @@
     checkRequest(request);
     if (target.drainingSince)
         m_drainingArrivals.push_back({ id, m_loop.now() - *target.drainingSince, m_loop.now() });
-    if (target.mode == TargetMode::RejectAll || target.runningRequests >= slots + queueSize) {
+    if (target.mode == TargetMode::RejectAll
+        || target.runningRequests >= target.slots + queueSize) {
         sendResponse(request.sink, "HTTP/1.1 503 X\r\nNot-Executed: 1\r\n" + head, "");
         return exchangeId;
     }
     ExecutionRecord &record = m_executions[id];
     if (record.executionCount++ == 0)
         record.firstStart = m_loop.now();
+    record.lastStart = m_loop.now();
+    record.lastEnd.reset();
+    record.lastCompleted = false;
     record.organisation = field(request, "Tenant");
     ++target.runningRequests;
-    m_callerConnected[exchangeId] = true;
+    m_runs[exchangeId] = id;
     const Duration serviceTime
-            = target.mode == TargetMode::Slow ? baseServiceTime * slowFactor : baseServiceTime;
+            = target.service == longService
+                      ? milliseconds(pathNumber(request.head.request.target, 0))
+                      : baseServiceTime * (target.mode == TargetMode::Slow ? slowFactor : 1);
     callLater(m_loop, serviceTime, [this, &target, request, id, exchangeId] {
         --target.runningRequests;
-        const bool isConnected = m_callerConnected.at(exchangeId);
-        m_callerConnected.erase(exchangeId);
-        if (isConnected)
-            completeRequest(target, request, id);
+        if (m_runs.erase(exchangeId) == 0)
+            return;
+        ExecutionRecord &ended = m_executions[id];
+        ended.lastEnd = m_loop.now();
+        ended.lastCompleted = true;
+        completeRequest(target, request, id);
     });
     return exchangeId;
 }
 
+void SoakTargets::handleDisconnect(std::uint64_t exchangeId)
+{
+    const auto run = m_runs.find(exchangeId);
+    if (run == m_runs.end())
+        return;
+    m_executions[run->second].lastEnd = m_loop.now();
+    m_runs.erase(run);
+}
+
 void SoakTargets::completeRequest(Target &target, const IncomingRequest &request,
                                   const std::string &id)
 {
     const bool injectsFault = std::uniform_int_distribution<int>(0, 2)(m_random) == 0;
     const TargetMode mode = injectsFault ? target.mode : TargetMode::Healthy;
-    const std::string body = id + " " + request.head.request.target + " " + request.body;
+    std::string body = id + " " + request.head.request.target + " " + request.body;
+    if (target.service == longService)
+        body.append(static_cast<std::size_t>(pathNumber(request.head.request.target, 1)), 'r');
     const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nResponse-Seal: s-" + id
                              + "\r\nServer-Load: " + std::to_string(target.runningRequests)
                              + ",0,4\r\n";
--- a/tools/soak/SoakTargets.h
+++ b/tools/soak/SoakTargets.h
@@ -28,6 +28,10 @@
 {
     int executionCount = 0;
     Time firstStart;
+    Time lastStart;
+    // When the last run ended or its caller disconnected.
+    std::optional<Time> lastEnd;
+    bool lastCompleted = false; // the last run ended with a response
     std::string organisation;
 };
 
@@ -38,13 +42,18 @@
 public:
     SoakTargets(EventLoop &loop, SoakStore &store, std::mt19937_64 &random);
 
+    // The service whose requests name their run time and the size of the response in the path:
+    // /PREFIX/MILLISECONDS/BYTES. Its targets have no faults.
+    static constexpr std::string_view longService = "long";
+
     // Starts a target in a zone and registers it in the store. False if an address is in use.
-    bool add(const std::string &id, const std::string &zone, const Address &listenAddress,
-             const Address &proxyAddress);
+    bool add(const std::string &id, const std::string &service, const std::string &zone,
+             const Address &listenAddress, const Address &proxyAddress);
     void setMode(const std::string &id, TargetMode mode);
     void setProxyMode(const std::string &id, ProxyMode mode);
     // Registers a target as draining, and removes its registration later.
     void drain(const std::string &id);
+    // The targets that may be disturbed.
     std::vector<std::string> ids() const;
 
     const std::map<std::string, ExecutionRecord> &executions() const { return m_executions; }
@@ -63,7 +72,9 @@
     struct Target
     {
         std::string id;
+        std::string service;
         std::string zone;
+        int slots = 0;
         Address proxyAddress;
         TargetMode mode = TargetMode::Healthy;
         std::unique_ptr<EdgeServer> server;
@@ -73,6 +84,7 @@
     };
 
     std::uint64_t handleRequest(Target &target, const IncomingRequest &request);
+    void handleDisconnect(std::uint64_t exchangeId);
     void checkRequest(const IncomingRequest &request);
     void completeRequest(Target &target, const IncomingRequest &request, const std::string &id);
     void writeRegistration(const Target &target, const std::string &state);
@@ -80,13 +92,14 @@
     EventLoop &m_loop;
     SoakStore &m_store;
     std::mt19937_64 &m_random;
-    std::map<std::string, std::unique_ptr<Target>> m_targets;
     std::map<std::string, ExecutionRecord> m_executions;
-    // By exchange. False once the caller has disconnected.
-    std::map<std::uint64_t, bool> m_callerConnected;
+    // The request ids of runs by exchange, until their callers disconnect.
+    std::map<std::uint64_t, std::string> m_runs;
     std::uint64_t m_nextExchangeId = 1;
     std::vector<std::string> m_violations;
     std::vector<DrainingArrival> m_drainingArrivals;
+    // Last, because its servers report disconnects when they are destroyed.
+    std::map<std::string, std::unique_ptr<Target>> m_targets;
 };
 
 } // namespace basildeck::soak
--- a/tools/soak/SoakVms.cpp
+++ b/tools/soak/SoakVms.cpp
@@ -100,6 +100,9 @@
     vm.sigkillTime.reset();
     vm.paused = false;
     vm.lastDisturbance = m_loop.now();
+    vm.processes.emplace_back();
+    if (m_startCallback)
+        m_startCallback(index);
 }
 
 void SoakVms::recordDisturbance(std::size_t vm)
@@ -113,8 +116,14 @@
     recordDisturbance(index);
     if (vm.pid == 0)
         return;
+    Process &process = vm.processes.back();
+    if (signal == SIGTERM && !process.sigtermTime)
+        process.sigtermTime = m_loop.now();
     if (signal == SIGTERM && !vm.sigtermTime)
         vm.sigtermTime = m_loop.now();
+    const bool isContinued = signal == SIGCONT && vm.paused;
+    if (signal == SIGKILL || signal == SIGSTOP || isContinued)
+        vm.killsAndPauses.push_back(m_loop.now());
     if (signal == SIGKILL)
         vm.sigkillTime = m_loop.now();
     if (signal == SIGSTOP)
@@ -141,6 +150,14 @@
         m_violations.push_back(vm.name + " exited unexpectedly with wait status "
                                + std::to_string(status));
     vm.pid = 0;
+    vm.processes.back().exitTime = m_loop.now();
+}
+
+bool SoakVms::wasKilledOrPaused(std::size_t vm, Time from, Time to) const
+{
+    const std::vector<Time> &times = m_vms.at(vm).killsAndPauses;
+    return std::any_of(times.begin(), times.end(),
+                       [&](Time time) { return time >= from && time <= to; });
 }
 
 void SoakVms::pollProcesses()
--- a/tools/soak/SoakVms.h
+++ b/tools/soak/SoakVms.h
@@ -4,6 +4,7 @@
 
 #include <sys/types.h>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -16,6 +17,13 @@
 class SoakVms
 {
 public:
+    // One process of a VM.
+    struct Process
+    {
+        std::optional<Time> sigtermTime; // of the first SIGTERM
+        std::optional<Time> exitTime;
+    };
+
     // The port on which a VM accepts requests of callers.
     static constexpr std::uint16_t callerPort = 8388;
     // The time from SIGTERM within which a process has to exit.
@@ -36,7 +44,26 @@
     void terminateAll();
     bool allExited() const;
 
+    // Called after each start of a process.
+    void setStartCallback(std::function<void(std::size_t vm)> callback)
+    {
+        m_startCallback = std::move(callback);
+    }
+
     std::size_t count() const { return m_vms.size(); }
+    // The index of the process that a VM runs, or ran last.
+    std::size_t currentProcess(std::size_t vm) const { return m_vms.at(vm).processes.size() - 1; }
+    // Whether a VM's process has received SIGTERM.
+    bool isLeaving(std::size_t vm) const
+    {
+        return process(vm, currentProcess(vm)).sigtermTime.has_value();
+    }
+    const Process &process(std::size_t vm, std::size_t index) const
+    {
+        return m_vms.at(vm).processes.at(index);
+    }
+    // Whether a process of the VM was killed, stopped or continued in a period.
+    bool wasKilledOrPaused(std::size_t vm, Time from, Time to) const;
     Address callerAddress(std::size_t vm) const;
     // The last time at which a fault was injected into the VM or its store link, or it was started.
     Time lastDisturbance(std::size_t vm) const { return m_vms.at(vm).lastDisturbance; }
@@ -52,6 +79,8 @@
         std::string logFile;
         std::unique_ptr<FaultProxy> storeLink;
         pid_t pid = 0; // 0: not running
+        std::vector<Process> processes;
+        std::vector<Time> killsAndPauses;
         std::optional<Time> sigkillTime;
         std::optional<Time> sigtermTime;
         bool paused = false;
@@ -67,6 +96,7 @@
     std::string m_folder;
     int m_subnet; // the second byte of the loopback addresses
     std::vector<Vm> m_vms;
+    std::function<void(std::size_t)> m_startCallback;
     std::vector<std::string> m_violations;
     bool m_isTerminating = false;
 };
