--- a/src/edge/FleetObjects.h
+++ b/src/edge/FleetObjects.h
@@ -5,8 +5,11 @@
 #include "config/FleetConfig.h"
 #include "store/ObjectProtocol.h"
 
+#include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
+#include <utility>
 
 namespace basildeck {
 
@@ -23,6 +26,11 @@
     std::int64_t startedAtUnixMs = 0; // 0 if unknown
 };
 
+// Orders the states of one object by their content: a state with a higher key is newer, whatever
+// the revisions in the store are. Returns nothing if the content does not tell.
+using ObjectOrder
+        = std::function<std::optional<std::pair<std::int64_t, std::int64_t>>(const StoredObject &)>;
+
 // The names and parsers of the objects in the platform's store.
 struct FleetObjectFormat
 {
@@ -33,6 +41,9 @@
 
     std::function<Result<FleetConfig>(const StoredObject &)> parseConfig;
     std::function<Result<RegisteredTarget>(const StoredObject &)> parseTarget;
+
+    ObjectOrder configOrder;
+    ObjectOrder targetOrder;
 };
 
 } // namespace basildeck
