--- a/src/decide/PeerTable.cpp
+++ b/src/decide/PeerTable.cpp
@@ -154,7 +154,7 @@
     return longest;
 }
 
-const Heartbeat *PeerTable::peerWithNewestReplica(const std::string &kind, std::uint64_t revision,
+const Heartbeat *PeerTable::peerWithNewestReplica(const std::string &kind, StoreVersion version,
                                                   Time now,
                                                   const std::set<std::string> &excluded) const
 {
@@ -162,11 +162,11 @@
     for (const Heartbeat *heartbeat : reachable(now)) {
         if (excluded.contains(heartbeat->vm))
             continue;
-        const auto found = heartbeat->revisions.find(kind);
-        if (found == heartbeat->revisions.end() || found->second <= revision)
+        const auto found = heartbeat->versions.find(kind);
+        if (found == heartbeat->versions.end() || found->second <= version)
             continue;
         newest = heartbeat;
-        revision = found->second;
+        version = found->second;
     }
     return newest;
 }
--- a/src/decide/PeerTable.h
+++ b/src/decide/PeerTable.h
@@ -5,6 +5,7 @@
 #include "decide/CrashQuarantine.h"
 #include "decide/RegisteredVm.h"
 #include "decide/TargetReport.h"
+#include "store/StoreVersion.h"
 
 #include <cstdint>
 #include <map>
@@ -29,11 +30,11 @@
     std::uint32_t storeReachedForMs = 0; // uninterrupted contact with the store
     bool ready = false;
     bool leaving = false;
-    std::map<std::string, std::uint64_t> revisions; // of its replicas, by kind of object
-    std::map<std::string, double> demands;          // requests per second, by organisation
-    std::vector<CrashReport> crashes;               // recent ones
-    std::vector<TargetReport> targetReports;        // since the last heartbeat
-    std::vector<std::string> introducedAddresses;   // gossip addresses of a few other VMs
+    std::map<std::string, StoreVersion> versions; // of its replicas, by kind of object
+    std::map<std::string, double> demands;        // requests per second, by organisation
+    std::vector<CrashReport> crashes;             // recent ones
+    std::vector<TargetReport> targetReports;      // since the last heartbeat
+    std::vector<std::string> introducedAddresses; // gossip addresses of a few other VMs
 };
 
 // Requests tokens of quotas from another VM.
@@ -111,9 +112,8 @@
     // Longest uninterrupted contact with the store among the reachable VMs.
     Duration longestStoreContact(Time now) const;
     // The reachable VM with the newest replica of a kind of object, other than the excluded ones.
-    // Null if none is newer than the given revision.
-    const Heartbeat *peerWithNewestReplica(const std::string &kind, std::uint64_t revision,
-                                           Time now,
+    // Null if none is newer than the given version.
+    const Heartbeat *peerWithNewestReplica(const std::string &kind, StoreVersion version, Time now,
                                            const std::set<std::string> &excluded = {}) const;
 
 private:
--- a/src/edge/EdgeProcess.cpp
+++ b/src/edge/EdgeProcess.cpp
@@ -216,8 +216,10 @@
     add("basildeck_targets", m_targets.size());
     add("basildeck_registered_vms", m_peers.knownVmCount());
     add("basildeck_reachable_vms", m_peers.reachable(m_loop.now()).size() + 1);
-    for (const auto &[kind, revision] : m_view->revisions())
-        add("basildeck_store_revision{kind=\"" + kind + "\"}", revision);
+    for (const auto &[kind, version] : m_view->versions()) {
+        add("basildeck_store_era{kind=\"" + kind + "\"}", version.era);
+        add("basildeck_store_revision{kind=\"" + kind + "\"}", version.revision);
+    }
     return text;
 }
 
@@ -230,7 +232,7 @@
     heartbeat.storeReachedForMs = static_cast<std::uint32_t>(
             std::chrono::duration_cast<milliseconds>(reachableTime).count());
     heartbeat.leaving = m_shutdownSince.has_value();
-    heartbeat.revisions = m_view->revisions();
+    heartbeat.versions = m_view->versions();
     heartbeat.targetReports = std::exchange(m_targetReports, {});
     heartbeat.crashes.clear();
     std::erase_if(m_recentCrashes,
--- a/src/edge/FleetView.cpp
+++ b/src/edge/FleetView.cpp
@@ -47,46 +47,61 @@
     , m_timer(dependencies.loop, [this] { tick(); })
     , m_roleTimer(dependencies.loop, [this] { updateRole(); })
 {
-    const auto reachable = [this](bool) { m_roleTimer.startOnce(Duration::zero()); };
-    const auto batch = [this] { handleBatch(); };
-    m_replicas.push_back(makeReplica(dependencies.format.configKind,
-                                     { [this](const StoredObject &object) { handleConfig(object); },
-                                       [](const std::string &) {}, batch, reachable }));
-    m_replicas.push_back(makeReplica(dependencies.format.targetKind,
-                                     { [this](const StoredObject &object) { handleTarget(object); },
-                                       [this](const std::string &name) {
-                                           m_dependencies.targets.remove(name,
-                                                                         m_dependencies.loop.now());
-                                       },
-                                       batch, reachable },
-                                     targetWatchDelay));
-    m_replicas.push_back(makeReplica(
-            dependencies.format.evacuationKind,
-            { [this](const StoredObject &object) {
-                 m_dependencies.targets.setEvacuated(object.name, true, m_dependencies.loop.now());
-             },
-              [this](const std::string &name) {
-                  m_dependencies.targets.setEvacuated(name, false, m_dependencies.loop.now());
-              },
-              batch, reachable }));
-    m_replicas.push_back(
-            makeReplica(vmKind, { [](const StoredObject &) {}, [](const std::string &) {},
-                                  [this] {
-                                      handleVms();
-                                      handleBatch();
-                                  },
-                                  reachable }));
+    const FleetObjectFormat &format = dependencies.format;
+    addReplica(format.configKind, configSettlingTimes, format.configOrder,
+               { [this](const StoredObject &object) { handleConfig(object); },
+                 [](const std::string &) {} });
+    addReplica(format.targetKind, targetSettlingTimes, format.targetOrder,
+               { [this](const StoredObject &object) { handleTarget(object); },
+                 [this](const std::string &name) {
+                     m_dependencies.targets.remove(name, m_dependencies.loop.now());
+                 } },
+               targetWatchDelay);
+    addReplica(format.evacuationKind, settlingTimes, {},
+               { [this](const StoredObject &object) {
+                    m_dependencies.targets.setEvacuated(object.name, true,
+                                                        m_dependencies.loop.now());
+                },
+                 [this](const std::string &name) {
+                     m_dependencies.targets.setEvacuated(name, false, m_dependencies.loop.now());
+                 } });
+    addReplica(vmKind, settlingTimes, {},
+               { [](const StoredObject &) {}, [](const std::string &) {} });
 }
 
 FleetView::~FleetView() = default;
 
-std::unique_ptr<ObjectReplica> FleetView::makeReplica(const std::string &kind,
-                                                      ObjectReplica::Callbacks callbacks,
-                                                      Duration watchDelay)
+void FleetView::addReplica(const std::string &kind, RestoredObjectFilter::SettlingTimes times,
+                           ObjectOrder order, RestoredObjectFilter::Callbacks callbacks,
+                           Duration watchDelay)
 {
-    return std::make_unique<ObjectReplica>(m_dependencies.loop, m_dependencies.protocol,
-                                           m_dependencies.settings.storeAddress, kind,
-                                           std::move(callbacks), watchDelay);
+    EventLoop &loop = m_dependencies.loop;
+    RestoredObjectFilter &filter
+            = m_filters.try_emplace(kind, kind, times, std::move(order), std::move(callbacks))
+                      .first->second;
+    ObjectReplica::Callbacks replicaCallbacks{
+        [&](const StoredObject &object) { filter.stored(object, loop.now()); },
+        [&](const std::string &name) { filter.deleted(name, loop.now()); },
+        [this, isVmKind = kind == vmKind] {
+            if (isVmKind)
+                handleVms();
+            handleBatch();
+        },
+        [this](bool) { m_roleTimer.startOnce(Duration::zero()); },
+        [&](const auto &objects) { filter.restored(objects, loop.now()); },
+        [this](std::uint64_t era) { raiseEra(era); },
+    };
+    m_replicas.push_back(std::make_unique<ObjectReplica>(loop, m_dependencies.protocol,
+                                                         m_dependencies.settings.storeAddress, kind,
+                                                         std::move(replicaCallbacks), watchDelay));
+}
+
+void FleetView::settle()
+{
+    for (auto &[kind, filter] : m_filters) {
+        if (filter.tick(m_dependencies.loop.now()) && kind == vmKind)
+            handleVms();
+    }
 }
 
 void FleetView::start()
@@ -96,6 +111,27 @@
     m_timer.startRepeating(tickPeriod);
 }
 
+void FleetView::raiseEra(std::uint64_t era)
+{
+    for (const auto &replica : m_replicas)
+        replica->raiseEra(era);
+}
+
+void FleetView::callStore(const std::string &method, const std::string &path,
+                          const std::string &body, Duration timeout,
+                          JsonHttpClient::ResponseCallback onResponse)
+{
+    m_registrationClient.call(
+            m_dependencies.settings.storeAddress, method, path, body, timeout,
+            [this, onResponse = std::move(onResponse)](Result<JsonHttpResponse> response) {
+                if (response) {
+                    const std::string &header = m_dependencies.protocol.eraHeader;
+                    raiseEra(response.value().numberField(header).value_or(0));
+                }
+                onResponse(std::move(response));
+            });
+}
+
 void FleetView::handleBatch()
 {
     m_relay.publish();
@@ -112,7 +148,7 @@
 void FleetView::updateRole()
 {
     const ObjectReplica &vms = *replica(vmKind);
-    if (m_isDeregistering || vms.revision() == 0)
+    if (m_isDeregistering || !vms.isListed())
         return;
     const Time now = m_dependencies.loop.now();
     m_relaySelection.setVms(m_dependencies.peers.registeredVms());
@@ -149,7 +185,7 @@
 // Without the list of VMs, this VM's share of the quotas is unknown.
 void FleetView::activateConfig()
 {
-    if (!m_routing || replica(vmKind)->revision() == 0)
+    if (!m_routing || !replica(vmKind)->isListed())
         return;
     m_dependencies.targets.setServices(m_routing->config());
     m_dependencies.forwarder.setRouting(m_routing);
@@ -176,7 +212,7 @@
 void FleetView::handleVms()
 {
     std::map<std::string, RegisteredVm> vms;
-    for (const auto &[name, object] : replica(vmKind)->objects()) {
+    for (const auto &[name, object] : m_filters.at(vmKind).objects()) {
         const auto gossip = object.content.find("gossip");
         if (gossip != object.content.end() && gossip->is_string())
             vms[name] = { gossip->get<std::string>(), textField(object.content, "relay"),
@@ -210,28 +246,26 @@
             = m_dependencies.protocol.createBody(m_dependencies.settings.vmName, content);
     const std::string path
             = m_dependencies.protocol.objectPath(vmKind, m_dependencies.settings.vmName);
-    m_registrationClient.call(
-            m_dependencies.settings.storeAddress, "POST", path, body, registrationTimeout,
-            [this, path, body](const Result<JsonHttpResponse> &response) {
-                const int status = response ? response.value().status : 0;
-                if (status == statusOk || status == statusCreated) {
-                    m_isRegistered = true;
-                    return;
-                }
-                if (status == statusConflict) {
-                    // An earlier process of this VM registered with another address.
-                    m_registrationClient.call(m_dependencies.settings.storeAddress, "PUT", path,
-                                              body, registrationTimeout,
-                                              [this](const Result<JsonHttpResponse> &putResponse) {
-                                                  m_isRegistered = putResponse
-                                                                   && putResponse.value().status
-                                                                              == statusOk;
-                                              });
-                    return;
-                }
-                BASILDECK_WARNING(logComponent) << "registration failed status=" << status
-                                                << (response ? "" : " " + response.error().detail);
-            });
+    callStore("POST", path, body, registrationTimeout,
+              [this, path, body](const Result<JsonHttpResponse> &response) {
+                  const int status = response ? response.value().status : 0;
+                  if (status == statusOk || status == statusCreated) {
+                      m_isRegistered = true;
+                      return;
+                  }
+                  if (status == statusConflict) {
+                      // An earlier process of this VM registered with another address.
+                      callStore("PUT", path, body, registrationTimeout,
+                                [this](const Result<JsonHttpResponse> &putResponse) {
+                                    m_isRegistered
+                                            = putResponse && putResponse.value().status == statusOk;
+                                });
+                      return;
+                  }
+                  BASILDECK_WARNING(logComponent)
+                          << "registration failed status=" << status
+                          << (response ? "" : " " + response.error().detail);
+              });
 }
 
 // Quota shares stay reserved for registered VMs, so VMs that were lost for good are deregistered. A
@@ -250,13 +284,12 @@
                                  << " revision=" << object->second.revision;
     const std::string path = m_dependencies.protocol.objectPath(vmKind, *lostVm)
                              + "?revision=" + std::to_string(object->second.revision);
-    m_registrationClient.call(m_dependencies.settings.storeAddress, "DELETE", path, {},
-                              registrationTimeout, [](const Result<JsonHttpResponse> &response) {
-                                  if (!response)
-                                      BASILDECK_WARNING(logComponent)
-                                              << "deregistration of the VM may have failed "
-                                              << response.error().detail;
-                              });
+    callStore("DELETE", path, {}, registrationTimeout,
+              [](const Result<JsonHttpResponse> &response) {
+                  if (!response)
+                      BASILDECK_WARNING(logComponent) << "deregistration of the VM may have failed "
+                                                      << response.error().detail;
+              });
 }
 
 void FleetView::deregister(std::function<void()> onDeregistered)
@@ -269,10 +302,9 @@
             replica->stop();
     }
     m_registrationClient.cancel();
-    m_registrationClient.call(
-            m_dependencies.settings.storeAddress, "DELETE",
-            m_dependencies.protocol.objectPath(vmKind, m_dependencies.settings.vmName), {},
-            deregistrationTimeout,
+    callStore(
+            "DELETE", m_dependencies.protocol.objectPath(vmKind, m_dependencies.settings.vmName),
+            {}, deregistrationTimeout,
             [onDeregistered = std::move(onDeregistered)](const Result<JsonHttpResponse> &response) {
                 if (!response)
                     BASILDECK_WARNING(logComponent)
@@ -294,11 +326,11 @@
                                              m_dependencies.loop.now());
 }
 
-std::map<std::string, std::uint64_t> FleetView::revisions() const
+std::map<std::string, StoreVersion> FleetView::versions() const
 {
-    std::map<std::string, std::uint64_t> result;
+    std::map<std::string, StoreVersion> result;
     for (const auto &replica : m_replicas)
-        result[replica->kind()] = replica->lastChangeRevision();
+        result[replica->kind()] = replica->lastChange();
     return result;
 }
 
@@ -312,6 +344,7 @@
 
 void FleetView::tick()
 {
+    settle();
     updateRole();
     const bool isVmListCurrent = replica(vmKind)->isReachable() || m_follower.isFollowing();
     if (!m_isRegistered && !m_isDeregistering && isVmListCurrent)
@@ -326,7 +359,7 @@
     const Heartbeat *peer = nullptr;
     for (const auto &replica : m_replicas) {
         const Heartbeat *newer = m_dependencies.peers.peerWithNewestReplica(
-                replica->kind(), replica->revision(), now, m_unhelpfulPeers);
+                replica->kind(), replica->version(), now, m_unhelpfulPeers);
         if (newer == nullptr) {
             m_behindSince.erase(replica->kind());
             continue;
@@ -369,8 +402,8 @@
                              : response.error().detail);
         return;
     }
-    const auto before = revisions();
-    if (!ReplicaRelay::apply(response.value().body, m_replicas) || revisions() == before)
+    const auto before = versions();
+    if (!ReplicaRelay::apply(response.value().body, m_replicas) || versions() == before)
         return;
     BASILDECK_INFO(logComponent) << "caught up with another VM vm=" << vm;
     if (m_follower.isFollowing())
--- a/src/edge/FleetView.h
+++ b/src/edge/FleetView.h
@@ -6,6 +6,7 @@
 #include "edge/ObjectReplica.h"
 #include "edge/ReplicaFollower.h"
 #include "edge/ReplicaRelay.h"
+#include "edge/RestoredObjectFilter.h"
 
 #include <functional>
 #include <memory>
@@ -36,6 +37,17 @@
     // same time, before it decides whether it watches the store.
     static constexpr Duration registrationSettleTime = milliseconds(1000);
 
+    // How long the last known states stay in force after a restore of the store, unless they are
+    // written again: a target reports within expiryGrace, and its entry is removed after three
+    // missed reports, 1.5 s each. No configuration is withdrawn by the operator, so a lower version
+    // in the copy is only used if the higher one seems lost for good.
+    static constexpr RestoredObjectFilter::SettlingTimes targetSettlingTimes{
+        TargetTable::expiryGrace, seconds(6)
+    };
+    static constexpr RestoredObjectFilter::SettlingTimes configSettlingTimes{ seconds(60),
+                                                                              seconds(60) };
+    static constexpr RestoredObjectFilter::SettlingTimes settlingTimes{ seconds(10), seconds(10) };
+
     struct Dependencies
     {
         EventLoop &loop;
@@ -62,13 +74,18 @@
     void deregister(std::function<void()> onDeregistered);
 
     bool isConfigured() const { return m_isConfigured; }
-    // The store revision of the last known change of each kind.
-    std::map<std::string, std::uint64_t> revisions() const;
+    // The store version of the last known change of each kind.
+    std::map<std::string, StoreVersion> versions() const;
     std::uint64_t storeCallCount() const;
     // Serves the changes of the replicas to VMs that follow this one.
     ReplicaRelay &relay() { return m_relay; }
 
 private:
+    // The store was seen in an era, which may be a new one.
+    void raiseEra(std::uint64_t era);
+    // Calls the store outside of the replicas.
+    void callStore(const std::string &method, const std::string &path, const std::string &body,
+                   Duration timeout, JsonHttpClient::ResponseCallback onResponse);
     void handleConfig(const StoredObject &object);
     void activateConfig();
     void handleTarget(const StoredObject &object);
@@ -85,13 +102,16 @@
     void handleNewerChanges(const std::string &vm, const Result<JsonHttpResponse> &response);
     void registerSelf();
     void deregisterLostVm();
-    std::unique_ptr<ObjectReplica> makeReplica(const std::string &kind,
-                                               ObjectReplica::Callbacks callbacks,
-                                               Duration watchDelay = ObjectReplica::minWatchDelay);
+    // Adds the replica of a kind, whose changes pass through a filter.
+    void addReplica(const std::string &kind, RestoredObjectFilter::SettlingTimes times,
+                    ObjectOrder order, RestoredObjectFilter::Callbacks callbacks,
+                    Duration watchDelay = ObjectReplica::minWatchDelay);
     ObjectReplica *replica(const std::string &kind) const;
+    void settle();
 
     Dependencies m_dependencies;
     Callbacks m_callbacks;
+    std::map<std::string, RestoredObjectFilter> m_filters; // by kind
     std::vector<std::unique_ptr<ObjectReplica>> m_replicas;
     RelaySelection m_relaySelection;
     ReplicaRelay m_relay;
--- a/src/edge/GossipTask.cpp
+++ b/src/edge/GossipTask.cpp
@@ -76,6 +76,12 @@
 
 } // namespace
 
+template <typename Archive>
+void serialize(Archive &archive, StoreVersion &version)
+{
+    archive(version.era, version.revision);
+}
+
 template <typename Archive>
 void serialize(Archive &archive, CrashReport &report)
 {
@@ -94,7 +100,7 @@
     archive(heartbeat.vm, heartbeat.incarnation, heartbeat.sequence, heartbeat.region,
             heartbeat.zone, heartbeat.callerAddress, heartbeat.gossipAddress,
             heartbeat.relayAddress, heartbeat.storeReachedForMs, heartbeat.ready, heartbeat.leaving,
-            heartbeat.revisions, heartbeat.demands, heartbeat.crashes, heartbeat.targetReports,
+            heartbeat.versions, heartbeat.demands, heartbeat.crashes, heartbeat.targetReports,
             heartbeat.introducedAddresses);
 }
 
--- a/src/edge/JsonHttpClient.cpp
+++ b/src/edge/JsonHttpClient.cpp
@@ -1,9 +1,23 @@
 #include "edge/JsonHttpClient.h"
 
+#include <charconv>
 #include <utility>
 
 namespace basildeck {
 
+std::optional<std::uint64_t> JsonHttpResponse::numberField(std::string_view name) const
+{
+    const std::string *text = fields.find(name);
+    if (text == nullptr)
+        return std::nullopt;
+    std::uint64_t number = 0;
+    const char *textEnd = text->data() + text->size();
+    const auto [end, error] = std::from_chars(text->data(), textEnd, number);
+    if (error != std::errc() || end != textEnd)
+        return std::nullopt;
+    return number;
+}
+
 JsonHttpClient::JsonHttpClient(EventLoop &loop)
     : m_loop(loop)
     , m_timeout(loop, [this] {
@@ -83,6 +97,7 @@
             { std::move(request), false,
               [this](const MessageHead &head) {
                   m_response.status = head.status;
+                  m_response.fields = head.fields;
                   return true;
               },
               [this](std::string_view bytes) { addToBody(bytes); },
--- a/src/edge/JsonHttpClient.h
+++ b/src/edge/JsonHttpClient.h
@@ -3,9 +3,12 @@
 #include "basildeck/Result.h"
 #include "edge/HttpClientConnection.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace basildeck {
 
@@ -14,6 +17,10 @@
 {
     int status = 0;
     std::string body;
+    HeaderFields fields;
+
+    // The value of a header; nothing if it is missing or not a number.
+    std::optional<std::uint64_t> numberField(std::string_view name) const;
 };
 
 // Sends HTTP requests with JSON bodies one at a time, reusing the connection to the last address.
--- a/src/edge/ObjectReplica.cpp
+++ b/src/edge/ObjectReplica.cpp
@@ -30,7 +30,7 @@
 {
     if (std::exchange(m_isWatching, true))
         return;
-    m_needsFullList = m_needsFullList && m_revision == 0;
+    m_needsFullList = !isListed() || isOfEarlierEra();
     m_needsFullList ? list() : watch();
 }
 
@@ -50,7 +50,7 @@
     m_hasReportedReachability = true;
     m_reachable = reachable;
     BASILDECK_INFO(logComponent) << (reachable ? "store reachable" : "store unreachable")
-                                 << " kind=" << m_kind << " revision=" << m_revision << " reason=\""
+                                 << " kind=" << m_kind << " version=" << m_version << " reason=\""
                                  << reason << '"';
     m_callbacks.onReachabilityChanged(reachable);
 }
@@ -58,10 +58,60 @@
 void ObjectReplica::retryLater(const std::string &reason)
 {
     setReachable(false, reason);
-    m_retryTimer.startOnce(m_backoff);
+    callAgainLater();
+}
+
+void ObjectReplica::callAgainLater()
+{
+    if (m_isWatching)
+        m_retryTimer.startOnce(m_backoff);
     m_backoff = std::min<Duration>(maxBackoff, m_backoff * 2);
 }
 
+void ObjectReplica::raiseEra(std::uint64_t era)
+{
+    if (era <= m_storeEra)
+        return;
+    recordEra(era);
+    if (m_isWatching)
+        listAnew();
+}
+
+void ObjectReplica::recordEra(std::uint64_t era)
+{
+    m_storeEra = era;
+    if (!isListed())
+        return;
+    m_needsFullList = true;
+    BASILDECK_WARNING(logComponent)
+            << "store has returned from an older copy, listing again kind=" << m_kind
+            << " version=" << m_version << " era=" << era;
+}
+
+void ObjectReplica::listAnew()
+{
+    m_retryTimer.stop();
+    if (m_client.isBusy())
+        m_client.cancel();
+    m_listContinuation.clear();
+    list();
+}
+
+bool ObjectReplica::acceptEra(const JsonHttpResponse &response)
+{
+    const std::uint64_t era = response.numberField(m_protocol.eraHeader).value_or(m_storeEra);
+    if (era < m_storeEra) {
+        m_listContinuation.clear();
+        retryLater("response of the earlier era " + std::to_string(era));
+        return false;
+    }
+    if (era > m_storeEra) {
+        recordEra(era);
+        m_callbacks.onEraRaised(era);
+    }
+    return true;
+}
+
 void ObjectReplica::list()
 {
     m_needsFullList = true;
@@ -75,6 +125,8 @@
 
 void ObjectReplica::handleListResponse(const Result<JsonHttpResponse> &response)
 {
+    if (response && !acceptEra(response.value()))
+        return;
     if (!response || response.value().status != statusOk) {
         m_listContinuation.clear();
         retryLater(response ? "status " + std::to_string(response.value().status)
@@ -89,8 +141,12 @@
     }
     // The watch starts at the revision of the first page, so it reports changes made while later
     // pages were listed.
-    if (m_listContinuation.empty())
-        m_listRevision = page.value().storeRevision;
+    if (m_listContinuation.empty()) {
+        m_listVersion = { m_storeEra, page.value().storeRevision };
+    } else if (m_listVersion.era != m_storeEra) {
+        listAnew();
+        return;
+    }
     const bool more = page.value().hasMore && !page.value().objects.empty();
     m_listContinuation = more ? page.value().objects.back().name : std::string();
     for (StoredObject &object : page.value().objects)
@@ -99,39 +155,55 @@
         list();
         return;
     }
-    m_backoff = initialBackoff;
     m_needsFullList = false;
     setReachable(true, "listed");
-    if (m_listRevision >= m_revision) {
-        m_revision = m_listRevision;
-        replaceAll(std::exchange(m_listed, {}));
+    // A snapshot that was adopted in the meantime can be newer.
+    if (m_listVersion < m_version) {
+        callAgainLater();
+        return;
     }
+    m_backoff = initialBackoff;
+    replaceAll(std::exchange(m_listed, {}), m_listVersion);
     if (m_isWatching)
         watch();
 }
 
-void ObjectReplica::replaceAll(std::map<std::string, StoredObject> objects)
+void ObjectReplica::replaceAll(std::map<std::string, StoredObject> objects,
+                               const StoreVersion &version)
 {
+    const StoreVersion versionBefore = std::exchange(m_version, version);
+    if (versionBefore.revision != 0 && versionBefore.era < version.era) {
+        BASILDECK_WARNING(logComponent) << "objects of a restored store kind=" << m_kind
+                                        << " before=" << versionBefore << " version=" << version;
+        m_objects = std::move(objects);
+        // Revisions of the earlier era say nothing about the changes since then.
+        m_log.clear();
+        m_logStart = version.revision;
+        m_lastChange = version;
+        m_callbacks.onRestored(m_objects);
+        m_callbacks.onBatchApplied();
+        return;
+    }
     const auto before = std::exchange(m_objects, std::move(objects));
     const bool isFirst = m_logStart == 0;
     for (const auto &[name, object] : before) {
         if (m_objects.contains(name))
             continue;
-        m_lastChangeRevision = m_revision; // upper bound: the revision of the deletion is unknown
-        logChange({ object, true }, m_revision);
+        m_lastChange = m_version; // upper bound: the revision of the deletion is unknown
+        logChange({ object, true }, m_version.revision);
         m_callbacks.onDeleted(name);
     }
     for (const auto &[name, object] : m_objects) {
-        m_lastChangeRevision = std::max(m_lastChangeRevision, object.revision);
+        m_lastChange = std::max(m_lastChange, { m_version.era, object.revision });
         const auto old = before.find(name);
         if (old != before.end() && old->second.revision == object.revision)
             continue;
         if (!isFirst)
-            logChange({ object, false }, m_revision);
+            logChange({ object, false }, m_version.revision);
         m_callbacks.onStored(object);
     }
     if (isFirst)
-        m_logStart = m_revision;
+        m_logStart = m_version.revision;
     m_callbacks.onBatchApplied();
 }
 
@@ -144,49 +216,53 @@
     }
 }
 
-std::optional<std::vector<ObjectChange>> ObjectReplica::changesSince(std::uint64_t revision) const
+std::optional<std::vector<ObjectChange>>
+ObjectReplica::changesSince(const StoreVersion &version) const
 {
-    if (m_logStart == 0 || revision < m_logStart)
+    if (m_logStart == 0 || version.era != m_version.era || version.revision < m_logStart)
         return std::nullopt;
     std::vector<ObjectChange> changes;
     for (const LoggedChange &logged : m_log) {
-        if (logged.revision > revision)
+        if (logged.revision > version.revision)
             changes.push_back(logged.change);
     }
     return changes;
 }
 
 bool ObjectReplica::adoptSnapshot(std::map<std::string, StoredObject> objects,
-                                  std::uint64_t revision)
+                                  const StoreVersion &version)
 {
-    if (revision <= m_revision)
+    if (version <= m_version || version.era < m_storeEra)
         return false;
-    m_revision = revision;
-    replaceAll(std::move(objects));
+    m_storeEra = version.era;
+    replaceAll(std::move(objects), version);
     return true;
 }
 
-void ObjectReplica::adoptChanges(const std::vector<ObjectChange> &changes, std::uint64_t revision)
+void ObjectReplica::adoptChanges(const std::vector<ObjectChange> &changes,
+                                 const StoreVersion &version)
 {
-    if (revision <= m_revision)
+    if (version <= m_version || version.era != m_version.era || isOfEarlierEra())
         return;
     for (const ObjectChange &change : changes)
-        apply(change, revision);
-    m_revision = revision;
+        apply(change, version.revision);
+    m_version = version;
     if (changes.empty())
         return;
-    m_lastChangeRevision = m_revision;
+    m_lastChange = m_version;
     m_callbacks.onBatchApplied();
 }
 
 void ObjectReplica::watch()
 {
     ++m_callCount;
+    m_watchEra = m_version.era;
     // The first watch after an outage returns at once, to find out whether the store responds.
     const milliseconds wait = m_reachable ? watchTimeout : milliseconds(0);
-    m_client.call(
-            m_store, "GET", m_protocol.watchPath(m_kind, m_revision, wait), {}, wait + callTimeout,
-            [this](const Result<JsonHttpResponse> &response) { handleWatchResponse(response); });
+    m_client.call(m_store, "GET", m_protocol.watchPath(m_kind, m_version.revision, wait), {},
+                  wait + callTimeout, [this](const Result<JsonHttpResponse> &response) {
+                      handleWatchResponse(response);
+                  });
 }
 
 void ObjectReplica::handleWatchResponse(const Result<JsonHttpResponse> &response)
@@ -195,12 +271,13 @@
         retryLater(response.error().detail);
         return;
     }
+    if (!acceptEra(response.value()))
+        return;
     if (response.value().status == statusGone) {
         BASILDECK_INFO(logComponent)
                 << "store no longer has the change history, listing again kind=" << m_kind
-                << " revision=" << m_revision;
-        m_listContinuation.clear();
-        list();
+                << " version=" << m_version;
+        listAnew();
         return;
     }
     if (response.value().status != statusOk) {
@@ -213,21 +290,26 @@
         retryLater(changes.error().detail);
         return;
     }
-    m_backoff = initialBackoff;
     setReachable(true, "watched");
+    // The revision from which the store reported changes is one of another history.
+    if (m_watchEra != m_storeEra) {
+        listAnew();
+        return;
+    }
     // A response older than a snapshot adopted in the meantime could restore deleted objects.
-    if (changes.value().storeRevision < m_revision) {
-        watch();
+    if (changes.value().storeRevision < m_version.revision) {
+        callAgainLater();
         return;
     }
+    m_backoff = initialBackoff;
     for (const ObjectChange &change : changes.value().changes)
         apply(change, changes.value().storeRevision);
-    m_revision = changes.value().storeRevision;
+    m_version.revision = changes.value().storeRevision;
     if (changes.value().changes.empty()) {
         watch();
         return;
     }
-    m_lastChangeRevision = m_revision;
+    m_lastChange = m_version;
     m_callbacks.onBatchApplied();
     if (m_isWatching)
         m_retryTimer.startOnce(m_watchDelay);
--- a/src/edge/ObjectReplica.h
+++ b/src/edge/ObjectReplica.h
@@ -2,6 +2,7 @@
 
 #include "edge/JsonHttpClient.h"
 #include "store/ObjectProtocol.h"
+#include "store/StoreVersion.h"
 
 #include <cstdint>
 #include <deque>
@@ -15,7 +16,8 @@
 
 // A local replica of all store objects of one kind, kept up to date with list and watch calls, or
 // with the changes that another VM relays. While this VM cannot reach the store, newer snapshots
-// from other VMs can be adopted. The revision of the replica never decreases.
+// from other VMs can be adopted. The version of the replica never decreases: when the store returns
+// from an older copy, its era rises, and the objects are listed anew.
 class ObjectReplica
 {
 public:
@@ -38,50 +40,70 @@
         std::function<void()> onBatchApplied;
         // Called when the store became reachable or unreachable from this VM.
         std::function<void(bool reachable)> onReachabilityChanged;
+        // Called instead of the reports of single changes when the objects are those of a higher
+        // era. They may be older than the ones before.
+        std::function<void(const std::map<std::string, StoredObject> &)> onRestored
+                = [](const auto &) {};
+        // Called when a response of the store had a higher era than any before.
+        std::function<void(std::uint64_t era)> onEraRaised = [](std::uint64_t) {};
     };
 
     ObjectReplica(EventLoop &loop, const ObjectProtocol &protocol, Address store, std::string kind,
                   Callbacks callbacks, Duration watchDelay = minWatchDelay);
 
-    // Starts to list and watch the store, from the revision of the replica if there is one.
+    // Starts to list and watch the store, from the version of the replica if there is one.
     void start();
     // Ends the calls to the store. The replica remains.
     void stop();
     bool isWatching() const { return m_isWatching; }
 
     const std::string &kind() const { return m_kind; }
-    // Store revision of the replica; 0 before the first list.
-    std::uint64_t revision() const { return m_revision; }
-    // Revision of the last known change. Deletions before the first list are not known.
-    std::uint64_t lastChangeRevision() const { return m_lastChangeRevision; }
+    // Store version of the replica; its revision is 0 before the first list.
+    const StoreVersion &version() const { return m_version; }
+    bool isListed() const { return m_version.revision != 0; }
+    // Version of the last known change. Deletions before the first list are not known.
+    const StoreVersion &lastChange() const { return m_lastChange; }
+    // Whether the store is known to be in a higher era than the replica.
+    bool isOfEarlierEra() const { return m_version.era < m_storeEra; }
+    // The store was seen in an era. If that is higher than the replica's, the objects are listed
+    // anew, and nothing of a lower era is applied.
+    void raiseEra(std::uint64_t era);
     bool isReachable() const { return m_reachable; }
     const std::map<std::string, StoredObject> &objects() const { return m_objects; }
     // Number of calls to the store, for the metrics.
     std::uint64_t callCount() const { return m_callCount; }
 
     // Replaces the replica by a snapshot from another VM if that is newer. Returns whether it was.
-    bool adoptSnapshot(std::map<std::string, StoredObject> objects, std::uint64_t revision);
-    // Applies changes from another VM, which lead from this replica's revision to a newer one.
-    void adoptChanges(const std::vector<ObjectChange> &changes, std::uint64_t revision);
-    // The changes after a revision, oldest first; nothing if they are no longer known.
-    std::optional<std::vector<ObjectChange>> changesSince(std::uint64_t revision) const;
-    bool hasChangesSince(std::uint64_t revision) const { return m_lastChangeRevision > revision; }
+    bool adoptSnapshot(std::map<std::string, StoredObject> objects, const StoreVersion &version);
+    // Applies changes from another VM, which lead from this replica's version to a newer one of the
+    // same era.
+    void adoptChanges(const std::vector<ObjectChange> &changes, const StoreVersion &version);
+    // The changes after a version, oldest first; nothing if they are no longer known, or if the
+    // version is of another era.
+    std::optional<std::vector<ObjectChange>> changesSince(const StoreVersion &version) const;
+    bool hasChangesSince(const StoreVersion &version) const { return m_lastChange > version; }
 
 private:
     void list();
     void handleListResponse(const Result<JsonHttpResponse> &response);
     void watch();
     void handleWatchResponse(const Result<JsonHttpResponse> &response);
+    void listAnew();
+    // Takes notice of the era of a response. Returns false for one of an earlier era, which is not
+    // applied; the call is repeated later.
+    bool acceptEra(const JsonHttpResponse &response);
+    void recordEra(std::uint64_t era);
+    void callAgainLater();
     void retryLater(const std::string &reason);
     void setReachable(bool reachable, const std::string &reason);
-    void replaceAll(std::map<std::string, StoredObject> objects);
+    void replaceAll(std::map<std::string, StoredObject> objects, const StoreVersion &version);
     void apply(const ObjectChange &change, std::uint64_t batchRevision);
     void logChange(ObjectChange change, std::uint64_t batchRevision);
 
     // A change and the revision of the replica after it.
     struct LoggedChange
     {
-        std::uint64_t revision;
+        std::uint64_t revision; // in the era of the replica
         ObjectChange change;
     };
 
@@ -97,9 +119,11 @@
     std::string m_listContinuation;
     std::deque<LoggedChange> m_log; // oldest first
     std::uint64_t m_logStart = 0;   // the log has all changes after this revision
-    std::uint64_t m_revision = 0;
-    std::uint64_t m_lastChangeRevision = 0;
-    std::uint64_t m_listRevision = 0; // of the first page
+    StoreVersion m_version;
+    StoreVersion m_lastChange;
+    StoreVersion m_listVersion;   // of the first page
+    std::uint64_t m_storeEra = 0; // the highest that was seen
+    std::uint64_t m_watchEra = 0; // of the version from which changes are watched
     std::uint64_t m_callCount = 0;
     bool m_isWatching = false;
     bool m_reachable = false;
--- a/src/edge/ReplicaFollower.cpp
+++ b/src/edge/ReplicaFollower.cpp
@@ -73,7 +73,7 @@
     // A relay that has not responded yet may be gone, so it is not given time to wait.
     const milliseconds wait = relay == m_followed ? pollWait : milliseconds(0);
     const bool isEmpty = std::any_of(m_replicas.begin(), m_replicas.end(),
-                                     [](const auto &replica) { return replica->revision() == 0; });
+                                     [](const auto &replica) { return !replica->isListed(); });
     m_client.call(address.value(), "GET", ReplicaRelay::requestPath(m_replicas, wait), {},
                   wait + (isEmpty ? snapshotTimeout : responseTimeout),
                   [this, relay](const Result<JsonHttpResponse> &response) {
--- a/src/edge/ReplicaRelay.cpp
+++ b/src/edge/ReplicaRelay.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <sstream>
 #include <utility>
 
 namespace basildeck {
@@ -23,6 +24,14 @@
     return number;
 }
 
+// Parses the form that StoreVersion is printed in.
+StoreVersion parseVersion(std::string_view text)
+{
+    const std::size_t dot = std::min(text.find('.'), text.size());
+    return { parseNumber(text.substr(0, dot)),
+             parseNumber(text.substr(std::min(dot + 1, text.size()))) };
+}
+
 void send(const ResponseSink &sink, const std::string &status, const std::string &body)
 {
     sink.head("HTTP/1.1 " + status + "\r\nContent-Type: application/json\r\nContent-Length: "
@@ -31,12 +40,12 @@
     sink.finish(false);
 }
 
-std::string revisionParameters(const std::vector<std::unique_ptr<ObjectReplica>> &replicas)
+std::string versionParameters(const std::vector<std::unique_ptr<ObjectReplica>> &replicas)
 {
-    std::string text;
+    std::ostringstream text;
     for (const auto &replica : replicas)
-        text += "&" + replica->kind() + "=" + std::to_string(replica->revision());
-    return text;
+        text << '&' << replica->kind() << '=' << replica->version();
+    return text.str();
 }
 
 json toJson(const StoredObject &object)
@@ -52,9 +61,9 @@
              object.at("content") };
 }
 
-json describe(const ObjectReplica &replica, std::uint64_t since)
+json describe(const ObjectReplica &replica, const StoreVersion &since)
 {
-    json kind{ { "revision", replica.revision() } };
+    json kind{ { "era", replica.version().era }, { "revision", replica.version().revision } };
     if (const auto changes = replica.changesSince(since)) {
         kind["changes"] = json::array();
         for (const ObjectChange &change : *changes) {
@@ -72,23 +81,24 @@
 
 void applyKind(const json &kind, ObjectReplica &replica)
 {
-    const auto revision = kind.at("revision").get<std::uint64_t>();
+    const StoreVersion version{ kind.at("era").get<std::uint64_t>(),
+                                kind.at("revision").get<std::uint64_t>() };
     if (kind.contains("objects")) {
         std::map<std::string, StoredObject> objects;
         for (const json &entry : kind.at("objects")) {
             StoredObject object = toObject(entry);
             objects[object.name] = std::move(object);
         }
-        if (replica.adoptSnapshot(std::move(objects), revision))
+        if (replica.adoptSnapshot(std::move(objects), version))
             BASILDECK_INFO(logComponent)
                     << "adopted a snapshot from a relay kind=" << replica.kind()
-                    << " revision=" << revision;
+                    << " version=" << version;
         return;
     }
     std::vector<ObjectChange> changes;
     for (const json &entry : kind.at("changes"))
         changes.push_back({ toObject(entry), entry.at("deleted").get<bool>() });
-    replica.adoptChanges(changes, revision);
+    replica.adoptChanges(changes, version);
 }
 
 } // namespace
@@ -104,13 +114,13 @@
                                       milliseconds wait)
 {
     return std::string(path) + std::string(waitKey) + "=" + std::to_string(wait.count())
-           + revisionParameters(replicas);
+           + versionParameters(replicas);
 }
 
 std::string
 ReplicaRelay::catchUpRequestPath(const std::vector<std::unique_ptr<ObjectReplica>> &replicas)
 {
-    return std::string(catchUpPath) + revisionParameters(replicas);
+    return std::string(catchUpPath) + versionParameters(replicas);
 }
 
 void ReplicaRelay::setServing(bool serving)
@@ -137,19 +147,19 @@
         if (equals == std::string_view::npos)
             continue;
         const std::string_view key = parameter.substr(0, equals);
-        const std::uint64_t number = parseNumber(parameter.substr(equals + 1));
+        const std::string_view value = parameter.substr(equals + 1);
         if (key == waitKey)
-            waiting.until
-                    += milliseconds(std::min<std::uint64_t>(number, maxWait / milliseconds(1)));
+            waiting.until += milliseconds(
+                    std::min<std::uint64_t>(parseNumber(value), maxWait / milliseconds(1)));
         else
-            waiting.revisions[std::string(key)] = number;
+            waiting.versions[std::string(key)] = parseVersion(value);
     }
     return waiting;
 }
 
 void ReplicaRelay::handleCatchUp(std::string_view query, const ResponseSink &sink)
 {
-    respond(parseQuery(query, sink).revisions, sink);
+    respond(parseQuery(query, sink).versions, sink);
 }
 
 ReplicaRelay::RequestId ReplicaRelay::handle(std::string_view query, const ResponseSink &sink)
@@ -159,8 +169,8 @@
         return 0;
     }
     Waiting waiting = parseQuery(query, sink);
-    if (waiting.until <= m_loop.now() || hasChanges(waiting.revisions)) {
-        respond(waiting.revisions, sink);
+    if (waiting.until <= m_loop.now() || hasChanges(waiting.versions)) {
+        respond(waiting.versions, sink);
         return 0;
     }
     const RequestId id = m_nextId++;
@@ -174,24 +184,24 @@
     m_waiting.erase(id);
 }
 
-bool ReplicaRelay::hasChanges(const std::map<std::string, std::uint64_t> &revisions) const
+bool ReplicaRelay::hasChanges(const std::map<std::string, StoreVersion> &versions) const
 {
     return std::any_of(m_replicas.begin(), m_replicas.end(), [&](const auto &replica) {
-        const auto known = revisions.find(replica->kind());
-        return known != revisions.end() && replica->hasChangesSince(known->second);
+        const auto known = versions.find(replica->kind());
+        return known != versions.end() && replica->hasChangesSince(known->second);
     });
 }
 
 void ReplicaRelay::publish()
 {
     for (auto entry = m_waiting.begin(); entry != m_waiting.end();) {
-        if (!hasChanges(entry->second.revisions)) {
+        if (!hasChanges(entry->second.versions)) {
             ++entry;
             continue;
         }
         const Waiting waiting = std::move(entry->second);
         entry = m_waiting.erase(entry);
-        respond(waiting.revisions, waiting.sink);
+        respond(waiting.versions, waiting.sink);
     }
 }
 
@@ -205,19 +215,19 @@
         }
         const Waiting waiting = std::move(entry->second);
         entry = m_waiting.erase(entry);
-        respond(waiting.revisions, waiting.sink);
+        respond(waiting.versions, waiting.sink);
     }
     if (!m_waiting.empty())
         m_timer.startOnce(timeoutCheckPeriod);
 }
 
-void ReplicaRelay::respond(const std::map<std::string, std::uint64_t> &revisions,
+void ReplicaRelay::respond(const std::map<std::string, StoreVersion> &versions,
                            const ResponseSink &sink)
 {
     json response = json::object();
     for (const auto &replica : m_replicas) {
-        const auto known = revisions.find(replica->kind());
-        if (known != revisions.end() && replica->revision() > known->second)
+        const auto known = versions.find(replica->kind());
+        if (known != versions.end() && replica->version() > known->second)
             response[replica->kind()] = describe(*replica, known->second);
     }
     send(sink, "200 OK", response.dump(-1, ' ', false, json::error_handler_t::replace));
--- a/src/edge/ReplicaRelay.h
+++ b/src/edge/ReplicaRelay.h
@@ -16,7 +16,7 @@
 
 // Serves the changes of this VM's replicas to the VMs that do not watch the store themselves.
 //
-// A follower names the revision of each of its replicas. The response is sent when one of the kinds
+// A follower names the version of each of its replicas. The response is sent when one of the kinds
 // has changed since then, or after the time that the follower is willing to wait.
 class ReplicaRelay
 {
@@ -25,7 +25,7 @@
 
     // Longest time that a follower may wait for a change.
     static constexpr Duration maxWait = seconds(2);
-    // The path of requests. The query has "wait_ms" and, for each kind, its name and revision.
+    // The path of requests. The query has "wait_ms" and, for each kind, its name and version.
     static constexpr std::string_view path = "/changes?";
     // The path of requests of VMs that are behind this one. They are served by every VM.
     static constexpr std::string_view catchUpPath = "/newer?";
@@ -56,13 +56,13 @@
 private:
     struct Waiting
     {
-        std::map<std::string, std::uint64_t> revisions; // of the follower, by kind
+        std::map<std::string, StoreVersion> versions; // of the follower, by kind
         ResponseSink sink;
         Time until;
     };
     Waiting parseQuery(std::string_view query, const ResponseSink &sink) const;
-    bool hasChanges(const std::map<std::string, std::uint64_t> &revisions) const;
-    void respond(const std::map<std::string, std::uint64_t> &revisions, const ResponseSink &sink);
+    bool hasChanges(const std::map<std::string, StoreVersion> &versions) const;
+    void respond(const std::map<std::string, StoreVersion> &versions, const ResponseSink &sink);
     static void refuse(const ResponseSink &sink);
     void handleTimeouts();
 
--- a/src/store/ObjectProtocol.h
+++ b/src/store/ObjectProtocol.h
@@ -44,6 +44,7 @@
 // The paths and bodies of a store's HTTP API. Each platform provides its own.
 struct ObjectProtocol
 {
+    std::string eraHeader; // in all responses; its number rises when the store returns from a copy
     std::function<std::string(const std::string &kind, const std::string &after)> listPath;
     std::function<std::string(const std::string &kind, std::uint64_t revision, milliseconds wait)>
             watchPath;
--- a/tests/ObjectReplicaTest.cpp
+++ b/tests/ObjectReplicaTest.cpp
@@ -26,7 +26,8 @@
                     { [this](const StoredObject &object) { m_events += "+" + object.name + " "; },
                       [this](const std::string &name) { m_events += "-" + name + " "; },
                       [this] { m_events += "."; },
-                      [this](bool reachable) { m_events += reachable ? "up " : "down "; } })
+                      [this](bool reachable) { m_events += reachable ? "up " : "down "; },
+                      [this](const auto &) { m_events += "restored "; } })
     {
         m_replica.start();
     }
@@ -50,10 +51,11 @@
         }
     }
 
-    void respond(int status, const std::string &body)
+    void respond(int status, const std::string &body, const std::string &era = "")
     {
-        m_socket->send("HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Length: "
-                       + std::to_string(body.size()) + "\r\n\r\n" + body);
+        m_socket->send("HTTP/1.1 " + std::to_string(status)
+                       + " X\r\nContent-Length: " + std::to_string(body.size()) + "\r\n"
+                       + (era.empty() ? era : "Store-Era: " + era + "\r\n") + "\r\n" + body);
     }
 
     void closeConnection() { m_socket.reset(); }
@@ -135,11 +137,11 @@
     CHECK(fixture.awaitRequest() == "GET /api/objects/servers?watch=8&wait_ms=10000 HTTP/1.1");
     fixture.respond(200, changeEvent(objectJson("b", 9), true, 9));
     CHECK(fixture.takeEvents("-b .") == "-b .");
-    CHECK(fixture.replica().lastChangeRevision() == 9);
+    CHECK(fixture.replica().lastChange().revision == 9);
     CHECK(fixture.awaitRequest().find("watch=9&") != std::string::npos);
     fixture.respond(200, R"({"events":[],"store_revision":12})");
     CHECK(fixture.awaitRequest().find("watch=12&") != std::string::npos);
-    CHECK(fixture.replica().lastChangeRevision() == 9);
+    CHECK(fixture.replica().lastChange().revision == 9);
 }
 
 // Guards against incidents inc-c00f and inc-f5f5 on the grown sites: each starting VM announced the
@@ -150,14 +152,14 @@
     fixture.awaitRequest();
     fixture.respond(200, listPage(objectJson("a", 7) + "," + objectJson("b", 2), 50));
     fixture.awaitRequest();
-    CHECK(fixture.replica().revision() == 50);
-    CHECK(fixture.replica().lastChangeRevision() == 7);
+    CHECK(fixture.replica().version().revision == 50);
+    CHECK(fixture.replica().lastChange().revision == 7);
     // An object missing from a later list was deleted, a change that no listed object reflects.
     fixture.respond(410, "{}");
     fixture.awaitRequest();
     fixture.respond(200, listPage(objectJson("a", 7), 60));
     fixture.awaitRequest();
-    CHECK(fixture.replica().lastChangeRevision() == 60);
+    CHECK(fixture.replica().lastChange().revision == 60);
 }
 
 TEST_CASE("a lost change history causes a new list, which removes missing objects")
@@ -196,14 +198,100 @@
     fixture.respond(200, listPage(objectJson("a", 1), 5));
     fixture.awaitRequest();
     fixture.takeEvents("up +a .");
-    CHECK_FALSE(fixture.replica().adoptSnapshot({}, 5));
-    CHECK(fixture.replica().adoptSnapshot({ { "b", { "b", 7, {} } } }, 8));
+    CHECK_FALSE(fixture.replica().adoptSnapshot({}, { 0, 5 }));
+    CHECK(fixture.replica().adoptSnapshot({ { "b", { "b", 7, {} } } }, { 0, 8 }));
     CHECK(fixture.takeEvents("-a +b .") == "-a +b .");
     // The response to the pending watch is older than the adopted snapshot.
     fixture.respond(200, changeEvent(objectJson("a", 6), false, 6));
     CHECK(fixture.awaitRequest().find("watch=8&") != std::string::npos);
     CHECK(fixture.replica().objects().size() == 1);
-    CHECK(fixture.replica().revision() == 8);
+    CHECK(fixture.replica().version().revision == 8);
+}
+
+TEST_CASE("a store that was restored from an older copy is listed again although its revision is "
+          "lower")
+{
+    // The store may end the watch with any status, or respond as if it knew the revision.
+    for (const int status : { 200, 410, 503 }) {
+        CAPTURE(status);
+        ReplicaFixture fixture;
+        fixture.awaitRequest();
+        fixture.respond(200, listPage(objectJson("a", 1) + "," + objectJson("b", 9), 9), "3");
+        fixture.awaitRequest();
+        fixture.takeEvents("up +a +b .");
+        fixture.respond(status, changeEvent(objectJson("x", 10), false, 10), "4");
+        CHECK(fixture.awaitRequest() == firstListRequest);
+        fixture.respond(200, listPage(objectJson("a", 1) + "," + objectJson("c", 4), 5), "4");
+        CHECK(fixture.awaitRequest().find("watch=5&") != std::string::npos);
+        CHECK(fixture.replica().objects().size() == 2);
+        CHECK(fixture.replica().objects().contains("c"));
+        CHECK_FALSE(fixture.replica().objects().contains("x"));
+        CHECK(fixture.takeEvents("restored .").find("restored .") != std::string::npos);
+        CHECK(fixture.replica().version() == StoreVersion{ 4, 5 });
+        CHECK(fixture.replica().hasChangesSince({ 3, 9 }));
+    }
+}
+
+TEST_CASE("a response of an earlier era changes nothing, and a missing or invalid era is none")
+{
+    ReplicaFixture fixture;
+    fixture.awaitRequest();
+    fixture.respond(200, listPage(objectJson("a", 1), 5), "3");
+    fixture.awaitRequest();
+    fixture.respond(200, changeEvent(objectJson("b", 6), false, 6), "2");
+    CHECK(fixture.awaitRequest().find("watch=5&") != std::string::npos);
+    CHECK(fixture.replica().objects().size() == 1);
+    fixture.respond(200, changeEvent(objectJson("c", 6), false, 6), "x3");
+    CHECK(fixture.awaitRequest().find("watch=6&") != std::string::npos);
+    fixture.respond(200, changeEvent(objectJson("d", 7), false, 7));
+    CHECK(fixture.awaitRequest().find("watch=7&") != std::string::npos);
+    CHECK(fixture.replica().objects().size() == 3);
+    CHECK(fixture.replica().version() == StoreVersion{ 3, 7 });
+}
+
+TEST_CASE("pages of different eras are not merged")
+{
+    ReplicaFixture fixture;
+    fixture.awaitRequest();
+    fixture.respond(200, listPage(objectJson("a", 1), 5, true), "3");
+    CHECK(fixture.awaitRequest() == "GET /api/objects/servers?after=a HTTP/1.1");
+    fixture.respond(200, listPage(objectJson("b", 2), 4), "4");
+    CHECK(fixture.awaitRequest() == firstListRequest);
+    fixture.respond(200, listPage(objectJson("b", 2), 4), "4");
+    fixture.awaitRequest();
+    CHECK(fixture.replica().objects().size() == 1);
+    CHECK(fixture.replica().objects().contains("b"));
+}
+
+TEST_CASE("an era that another replica has seen ends the watch and lists again")
+{
+    ReplicaFixture fixture;
+    fixture.awaitRequest();
+    fixture.respond(200, listPage(objectJson("a", 1), 5), "3");
+    fixture.awaitRequest();
+    fixture.replica().raiseEra(3);
+    CHECK_FALSE(fixture.replica().isOfEarlierEra());
+    fixture.replica().raiseEra(4);
+    CHECK(fixture.replica().isOfEarlierEra());
+    fixture.closeConnection();
+    CHECK(fixture.awaitRequest() == firstListRequest);
+}
+
+TEST_CASE("an older response of the same era does not cause calls in a tight loop")
+{
+    ReplicaFixture fixture;
+    fixture.awaitRequest();
+    fixture.respond(200, listPage(objectJson("a", 1), 5), "3");
+    fixture.awaitRequest();
+    const Time start = std::chrono::steady_clock::now();
+    fixture.respond(200, R"({"events":[],"store_revision":4})", "3");
+    CHECK(fixture.awaitRequest().find("watch=5&") != std::string::npos);
+    fixture.respond(410, "{}", "3");
+    CHECK(fixture.awaitRequest() == firstListRequest);
+    fixture.respond(200, listPage("", 4), "3");
+    CHECK(fixture.awaitRequest().find("watch=5&") != std::string::npos);
+    CHECK(std::chrono::steady_clock::now() - start >= ObjectReplica::initialBackoff * 3);
+    CHECK(fixture.replica().objects().size() == 1);
 }
 
 TEST_SUITE_END();
--- a/tests/PeerTableTest.cpp
+++ b/tests/PeerTableTest.cpp
@@ -96,15 +96,29 @@
     const Time now = Time() + seconds(100);
     PeerTable table("self");
     Heartbeat a = makeHeartbeat("a", 1, 1);
-    a.revisions = { { "config", 10 } };
+    a.versions = { { "config", { 0, 10 } } };
     Heartbeat b = makeHeartbeat("b", 1, 1);
-    b.revisions = { { "config", 12 } };
+    b.versions = { { "config", { 0, 12 } } };
     table.recordHeartbeat(a, now);
     table.recordHeartbeat(b, now - PeerTable::minReachabilityTimeout * 2);
-    CHECK(table.peerWithNewestReplica("config", 9, now)->vm == "a");
-    CHECK(table.peerWithNewestReplica("config", 10, now) == nullptr);
-    CHECK(table.peerWithNewestReplica("other", 0, now) == nullptr);
-    CHECK(table.peerWithNewestReplica("config", 9, now, { "a" }) == nullptr);
+    CHECK(table.peerWithNewestReplica("config", { 0, 9 }, now)->vm == "a");
+    CHECK(table.peerWithNewestReplica("config", { 0, 10 }, now) == nullptr);
+    CHECK(table.peerWithNewestReplica("other", { 0, 0 }, now) == nullptr);
+    CHECK(table.peerWithNewestReplica("config", { 0, 9 }, now, { "a" }) == nullptr);
+}
+
+TEST_CASE("a replica of a later era is newer although its revision is lower")
+{
+    const Time now = Time() + seconds(100);
+    PeerTable table("self");
+    Heartbeat a = makeHeartbeat("a", 1, 1);
+    a.versions = { { "config", { 1, 100 } } };
+    Heartbeat b = makeHeartbeat("b", 1, 1);
+    b.versions = { { "config", { 2, 12 } } };
+    table.recordHeartbeat(a, now);
+    table.recordHeartbeat(b, now);
+    CHECK(table.peerWithNewestReplica("config", { 1, 90 }, now)->vm == "b");
+    CHECK(table.peerWithNewestReplica("config", { 2, 12 }, now) == nullptr);
 }
 
 TEST_CASE("callers get the VMs of their region, and others only if it has none")
--- a/tests/ReplicaRelayTest.cpp
+++ b/tests/ReplicaRelayTest.cpp
@@ -70,7 +70,7 @@
     EventLoop loop;
     Vm source(loop);
     Vm follower(loop);
-    source.servers().adoptSnapshot({ { "a", { "a", 5, 1 } }, { "b", { "b", 7, 2 } } }, 10);
+    source.servers().adoptSnapshot({ { "a", { "a", 5, 1 } }, { "b", { "b", 7, 2 } } }, { 0, 10 });
     source.relay.setServing(true);
 
     Response first;
@@ -78,18 +78,18 @@
     REQUIRE(first.isComplete);
     CHECK(ReplicaRelay::apply(first.body, follower.replicas));
     CHECK(follower.events == "+a +b ");
-    CHECK(follower.servers().revision() == 10);
+    CHECK(follower.servers().version().revision == 10);
 
     follower.events.clear();
     Response second;
     CHECK(source.relay.handle(query(follower, seconds(1)), second.sink()) != 0);
     CHECK_FALSE(second.isComplete);
-    source.servers().adoptChanges({ stored("c", 11), deleted("a", 12) }, 12);
+    source.servers().adoptChanges({ stored("c", 11), deleted("a", 12) }, { 0, 12 });
     REQUIRE(second.isComplete);
     CHECK(second.body.find("\"b\"") == std::string::npos);
     CHECK(ReplicaRelay::apply(second.body, follower.replicas));
     CHECK(follower.events == "+c -a ");
-    CHECK(follower.servers().revision() == 12);
+    CHECK(follower.servers().version().revision == 12);
 }
 
 TEST_CASE("a list that replaces the replica reaches followers as changes")
@@ -97,12 +97,12 @@
     EventLoop loop;
     Vm source(loop);
     Vm follower(loop);
-    source.servers().adoptSnapshot({ { "a", { "a", 5, 1 } }, { "b", { "b", 7, 2 } } }, 10);
+    source.servers().adoptSnapshot({ { "a", { "a", 5, 1 } }, { "b", { "b", 7, 2 } } }, { 0, 10 });
     source.relay.setServing(true);
     Response first;
     source.relay.handle(query(follower, milliseconds(0)), first.sink());
     ReplicaRelay::apply(first.body, follower.replicas);
-    source.servers().adoptSnapshot({ { "b", { "b", 7, 2 } }, { "c", { "c", 15, 3 } } }, 20);
+    source.servers().adoptSnapshot({ { "b", { "b", 7, 2 } }, { "c", { "c", 15, 3 } } }, { 0, 20 });
     follower.events.clear();
     Response second;
     source.relay.handle(query(follower, milliseconds(0)), second.sink());
@@ -117,15 +117,15 @@
     EventLoop loop;
     Vm source(loop);
     Vm follower(loop);
-    source.servers().adoptSnapshot({ { "a", { "a", 5, 1 } } }, 10);
-    follower.servers().adoptSnapshot({ { "b", { "b", 15, 1 } } }, 20);
+    source.servers().adoptSnapshot({ { "a", { "a", 5, 1 } } }, { 0, 10 });
+    follower.servers().adoptSnapshot({ { "b", { "b", 15, 1 } } }, { 0, 20 });
     source.relay.setServing(true);
     Response stale;
     source.relay.handle("wait_ms=0&servers=0", stale.sink());
     follower.events.clear();
     CHECK(ReplicaRelay::apply(stale.body, follower.replicas));
     CHECK(follower.events.empty());
-    CHECK(follower.servers().revision() == 20);
+    CHECK(follower.servers().version().revision == 20);
 }
 
 TEST_CASE("a VM that does not reach the store refuses followers, also those that wait")
@@ -150,10 +150,55 @@
     Response gone;
     const auto id = source.relay.handle("wait_ms=1000&servers=0", gone.sink());
     source.relay.cancel(id);
-    source.servers().adoptSnapshot({ { "a", { "a", 5, 1 } } }, 10);
+    source.servers().adoptSnapshot({ { "a", { "a", 5, 1 } } }, { 0, 10 });
     CHECK_FALSE(gone.isComplete);
 }
 
+TEST_CASE("a relay that has not seen the new era does not take its followers back")
+{
+    EventLoop loop;
+    Vm source(loop);
+    Vm follower(loop);
+    source.servers().adoptSnapshot({ { "a", { "a", 5, 1 } } }, { 1, 20 });
+    source.relay.setServing(true);
+    Response before;
+    source.relay.handle(query(follower, milliseconds(0)), before.sink());
+    follower.servers().adoptSnapshot({ { "b", { "b", 8, 1 } } }, { 2, 9 });
+    CHECK(ReplicaRelay::apply(before.body, follower.replicas));
+    CHECK(follower.servers().version() == StoreVersion{ 2, 9 });
+    CHECK(follower.servers().objects().contains("b"));
+
+    // The relay does not know the follower's era.
+    Response behind;
+    source.relay.handle(query(follower, milliseconds(0)), behind.sink());
+    CHECK(behind.body == "{}");
+
+    // A VM of the earlier era gets all objects of the new one, although its revision is higher.
+    Response after;
+    follower.relay.setServing(true);
+    follower.relay.handle(query(source, seconds(1)), after.sink());
+    CHECK(ReplicaRelay::apply(after.body, source.replicas));
+    CHECK(source.servers().version() == StoreVersion{ 2, 9 });
+    CHECK(source.servers().objects().size() == 1);
+    CHECK(source.servers().objects().contains("b"));
+}
+
+TEST_CASE("changes of an earlier era are not applied to a replica that has seen a new one")
+{
+    EventLoop loop;
+    Vm vm(loop);
+    vm.servers().adoptSnapshot({ { "a", { "a", 5, 1 } } }, { 1, 20 });
+    vm.servers().raiseEra(2);
+    vm.servers().adoptChanges({ stored("b", 21) }, { 1, 21 });
+    CHECK_FALSE(vm.servers().adoptSnapshot({}, { 1, 22 }));
+    CHECK(vm.servers().objects().size() == 1);
+    CHECK(vm.servers().isOfEarlierEra());
+    CHECK(vm.servers().adoptSnapshot({ { "c", { "c", 2, 1 } } }, { 2, 3 }));
+    CHECK_FALSE(vm.servers().isOfEarlierEra());
+    CHECK_FALSE(vm.servers().changesSince({ 1, 20 }).has_value());
+    CHECK(vm.servers().changesSince({ 2, 3 })->empty());
+}
+
 TEST_CASE("malformed requests and responses do no harm")
 {
     EventLoop loop;
@@ -166,11 +211,12 @@
         vm.relay.cancel(vm.relay.handle(malformed, response.sink()));
     }
     for (const char *malformed :
-         { "", "[]", "{\"servers\":1}", "{\"servers\":{\"revision\":\"x\"}}",
-           "{\"servers\":{\"revision\":5,\"changes\":[{\"name\":1}]}}" }) {
+         { "", "[]", "{\"servers\":1}", "{\"servers\":{\"era\":0,\"revision\":\"x\"}}",
+           "{\"servers\":{\"era\":\"x\",\"revision\":5,\"changes\":[]}}",
+           "{\"servers\":{\"era\":0,\"revision\":5,\"changes\":[{\"name\":1}]}}" }) {
         CAPTURE(malformed);
         ReplicaRelay::apply(malformed, vm.replicas);
-        CHECK(vm.servers().revision() == 0);
+        CHECK(vm.servers().version().revision == 0);
     }
 }
 
