A VM registers again when the store has lost its registration

What callers saw: VMs whose registrations were lost with the copy were not registered at once, and VMs that had left were registered again, which keeps their share of the quotas reserved.

Cause: an own registration counted as written once the store had confirmed it, and a registration that the copy brings back looked like that of a VM that is lost, which is removed after two minutes.

Change: VmRegistration, split from FleetView, compares this VM's registration with the store's list, not with the states that stay in force after a restore, and a new era makes it doubtful. A VM that has left and is registered again because of the copy is removed as soon as it is silent, by the VM that removes lost ones. The conditional removal is not sent while the list is of an earlier era than the store. Each response to these calls tells the replicas the store's era.

The scripted store of ObjectReplicaTest is now tests/ScriptedStore.h; it skips request bodies.

--- a/src/decide/PeerTable.cpp
+++ b/src/decide/PeerTable.cpp
@@ -24,12 +24,18 @@
     return regions;
 }
 
-std::optional<std::string> PeerTable::vmToDeregister(Time now) const
+std::optional<std::string> PeerTable::vmToDeregister(Time now,
+                                                     const std::set<std::string> &left) const
 {
+    std::set<std::string> silent = left;
     for (const Heartbeat *heartbeat : reachable(now)) {
         if (heartbeat->vm < m_self)
             return std::nullopt;
+        silent.erase(heartbeat->vm);
     }
+    silent.erase(m_self);
+    if (!silent.empty())
+        return *silent.begin();
     for (const auto &[vm, since] : m_registeredSince) {
         const auto peer = m_peers.find(vm);
         const Time lastSeen
--- a/src/decide/PeerTable.h
+++ b/src/decide/PeerTable.h
@@ -85,8 +85,10 @@
     // The region of each registered VM by its name, including this one.
     std::map<std::string, std::string> registeredRegions() const;
     // Returns a registered VM that is gone, if this VM has to remove its registration. Of the VMs
-    // that reach each other, the first by name does this.
-    std::optional<std::string> vmToDeregister(Time now) const;
+    // that reach each other, the first by name does this. VMs that left by themselves and are
+    // registered again only because the store returned from a copy are gone once they are silent.
+    std::optional<std::string> vmToDeregister(Time now,
+                                              const std::set<std::string> &left = {}) const;
     // Returns false if the heartbeat is older than the last one.
     bool recordHeartbeat(const Heartbeat &heartbeat, Time now);
     // Adds a gossip address that another VM announced.
--- a/src/edge/FleetView.cpp
+++ b/src/edge/FleetView.cpp
@@ -10,12 +10,8 @@
 namespace {
 
 constexpr const char *logComponent = "fleet";
-constexpr Duration registrationTimeout = milliseconds(1500);
-constexpr Duration deregistrationTimeout = milliseconds(500);
 constexpr Duration catchUpTimeout = milliseconds(1000);
 constexpr int statusOk = 200;
-constexpr int statusCreated = 201;
-constexpr int statusConflict = 409;
 
 // Returns an empty text if the field is missing or not a text.
 std::string textField(const nlohmann::json &object, const char *name)
@@ -42,7 +38,8 @@
               dependencies.loop, m_relaySelection, m_replicas,
               { [this](const std::string &vm) { return m_dependencies.peers.relayAddressOf(vm); },
                 [this] { updateRole(); } })
-    , m_registrationClient(dependencies.loop)
+    , m_registration(dependencies.loop, dependencies.settings, dependencies.protocol, vmKind,
+                     [this](std::uint64_t era) { raiseEra(era); })
     , m_catchUpClient(dependencies.loop)
     , m_timer(dependencies.loop, [this] { tick(); })
     , m_roleTimer(dependencies.loop, [this] { updateRole(); })
@@ -113,25 +110,14 @@
 
 void FleetView::raiseEra(std::uint64_t era)
 {
+    if (era <= m_storeEra)
+        return;
+    m_storeEra = era;
+    m_registration.invalidate();
     for (const auto &replica : m_replicas)
         replica->raiseEra(era);
 }
 
-void FleetView::callStore(const std::string &method, const std::string &path,
-                          const std::string &body, Duration timeout,
-                          JsonHttpClient::ResponseCallback onResponse)
-{
-    m_registrationClient.call(
-            m_dependencies.settings.storeAddress, method, path, body, timeout,
-            [this, onResponse = std::move(onResponse)](Result<JsonHttpResponse> response) {
-                if (response) {
-                    const std::string &header = m_dependencies.protocol.eraHeader;
-                    raiseEra(response.value().numberField(header).value_or(0));
-                }
-                onResponse(std::move(response));
-            });
-}
-
 void FleetView::handleBatch()
 {
     m_relay.publish();
@@ -219,77 +205,29 @@
                           textField(object.content, "region"),
                           numberField(object.content, "memory_bytes") };
     }
-    const auto own = vms.find(m_dependencies.settings.vmName);
-    m_isRegistered = m_isRegistered && own != vms.end();
-    const bool isRegistrationCurrent
-            = own != vms.end()
-              && own->second.gossipAddress == m_dependencies.settings.gossipAddress().toString();
-    if (!isRegistrationCurrent && !m_isDeregistering)
-        registerSelf();
+    m_registration.check(replica(vmKind)->objects());
     m_dependencies.peers.setRegistered(std::move(vms), m_dependencies.loop.now());
     m_roleTimer.startOnce(Duration::zero());
     if (!m_isConfigured)
         activateConfig();
 }
 
-void FleetView::registerSelf()
-{
-    if (m_registrationClient.isBusy() || m_isRegistered)
-        return;
-    const nlohmann::json content = {
-        { "gossip", m_dependencies.settings.gossipAddress().toString() },
-        { "relay", m_dependencies.settings.relayAddress().toString() },
-        { "region", m_dependencies.settings.region },
-        { "memory_bytes", m_dependencies.settings.memoryBytes },
-    };
-    const std::string body
-            = m_dependencies.protocol.createBody(m_dependencies.settings.vmName, content);
-    const std::string path
-            = m_dependencies.protocol.objectPath(vmKind, m_dependencies.settings.vmName);
-    callStore("POST", path, body, registrationTimeout,
-              [this, path, body](const Result<JsonHttpResponse> &response) {
-                  const int status = response ? response.value().status : 0;
-                  if (status == statusOk || status == statusCreated) {
-                      m_isRegistered = true;
-                      return;
-                  }
-                  if (status == statusConflict) {
-                      // An earlier process of this VM registered with another address.
-                      callStore("PUT", path, body, registrationTimeout,
-                                [this](const Result<JsonHttpResponse> &putResponse) {
-                                    m_isRegistered
-                                            = putResponse && putResponse.value().status == statusOk;
-                                });
-                      return;
-                  }
-                  BASILDECK_WARNING(logComponent)
-                          << "registration failed status=" << status
-                          << (response ? "" : " " + response.error().detail);
-              });
-}
-
 // Quota shares stay reserved for registered VMs, so VMs that were lost for good are deregistered. A
 // VM that returns registers itself again.
 void FleetView::deregisterLostVm()
 {
-    const auto lostVm = m_dependencies.peers.vmToDeregister(m_dependencies.loop.now());
     const ObjectReplica &vms = *replica(vmKind);
     const bool isVmListCurrent = vms.isReachable() || m_follower.isFollowing();
-    if (!lostVm || m_registrationClient.isBusy() || !isVmListCurrent)
+    // The revisions of an earlier era may be those of other states by now.
+    if (!isVmListCurrent || vms.isOfEarlierEra())
         return;
-    const auto object = vms.objects().find(*lostVm);
-    if (object == vms.objects().end())
-        return;
-    BASILDECK_INFO(logComponent) << "deregistering a VM that is gone vm=" << *lostVm
-                                 << " revision=" << object->second.revision;
-    const std::string path = m_dependencies.protocol.objectPath(vmKind, *lostVm)
-                             + "?revision=" + std::to_string(object->second.revision);
-    callStore("DELETE", path, {}, registrationTimeout,
-              [](const Result<JsonHttpResponse> &response) {
-                  if (!response)
-                      BASILDECK_WARNING(logComponent) << "deregistration of the VM may have failed "
-                                                      << response.error().detail;
-              });
+    std::set<std::string> left;
+    for (const StoredObject &object : m_filters.at(vmKind).undeleted())
+        left.insert(object.name);
+    const auto lostVm = m_dependencies.peers.vmToDeregister(m_dependencies.loop.now(), left);
+    const auto object = vms.objects().find(lostVm.value_or(std::string()));
+    if (object != vms.objects().end())
+        m_registration.removeOther(object->second);
 }
 
 void FleetView::deregister(std::function<void()> onDeregistered)
@@ -297,20 +235,8 @@
     m_isDeregistering = true;
     m_timer.stop();
     m_relay.setServing(false);
-    for (const auto &replica : m_replicas) {
-        if (replica->kind() == vmKind)
-            replica->stop();
-    }
-    m_registrationClient.cancel();
-    callStore(
-            "DELETE", m_dependencies.protocol.objectPath(vmKind, m_dependencies.settings.vmName),
-            {}, deregistrationTimeout,
-            [onDeregistered = std::move(onDeregistered)](const Result<JsonHttpResponse> &response) {
-                if (!response)
-                    BASILDECK_WARNING(logComponent)
-                            << "own registration may be left behind " << response.error().detail;
-                onDeregistered();
-            });
+    replica(vmKind)->stop();
+    m_registration.removeOwn(std::move(onDeregistered));
 }
 
 ObjectReplica *FleetView::replica(const std::string &kind) const
@@ -347,7 +273,7 @@
     settle();
     updateRole();
     const bool isVmListCurrent = replica(vmKind)->isReachable() || m_follower.isFollowing();
-    if (!m_isRegistered && !m_isDeregistering && isVmListCurrent)
+    if (!m_registration.isRegistered() && !m_isDeregistering && isVmListCurrent)
         handleVms();
     if (!m_isDeregistering)
         deregisterLostVm();
--- a/src/edge/FleetView.h
+++ b/src/edge/FleetView.h
@@ -7,6 +7,7 @@
 #include "edge/ReplicaFollower.h"
 #include "edge/ReplicaRelay.h"
 #include "edge/RestoredObjectFilter.h"
+#include "edge/VmRegistration.h"
 
 #include <functional>
 #include <memory>
@@ -83,9 +84,6 @@
 private:
     // The store was seen in an era, which may be a new one.
     void raiseEra(std::uint64_t era);
-    // Calls the store outside of the replicas.
-    void callStore(const std::string &method, const std::string &path, const std::string &body,
-                   Duration timeout, JsonHttpClient::ResponseCallback onResponse);
     void handleConfig(const StoredObject &object);
     void activateConfig();
     void handleTarget(const StoredObject &object);
@@ -100,7 +98,6 @@
     const Heartbeat *peerToCatchUpWith(Time now);
     void fetchNewerChanges();
     void handleNewerChanges(const std::string &vm, const Result<JsonHttpResponse> &response);
-    void registerSelf();
     void deregisterLostVm();
     // Adds the replica of a kind, whose changes pass through a filter.
     void addReplica(const std::string &kind, RestoredObjectFilter::SettlingTimes times,
@@ -117,7 +114,7 @@
     ReplicaRelay m_relay;
     ReplicaFollower m_follower;
     std::shared_ptr<RoutingTable> m_routing;
-    JsonHttpClient m_registrationClient;
+    VmRegistration m_registration;
     JsonHttpClient m_catchUpClient;
     Timer m_timer;
     Timer m_roleTimer; // active while the role is to be decided again, outside of callbacks
@@ -127,7 +124,7 @@
     std::optional<Time> m_listedAt; // when the registered VMs were known first
     bool m_hasRole = false;
     bool m_isConfigured = false;
-    bool m_isRegistered = false;
+    std::uint64_t m_storeEra = 0; // the highest that was seen
     bool m_isDeregistering = false;
 };
 
--- a/src/edge/ObjectReplica.cpp
+++ b/src/edge/ObjectReplica.cpp
@@ -234,8 +234,10 @@
 {
     if (version <= m_version || version.era < m_storeEra)
         return false;
-    m_storeEra = version.era;
+    const bool isEraNew = version.era > std::exchange(m_storeEra, version.era);
     replaceAll(std::move(objects), version);
+    if (isEraNew)
+        m_callbacks.onEraRaised(version.era);
     return true;
 }
 
--- a/src/edge/ObjectReplica.h
+++ b/src/edge/ObjectReplica.h
@@ -44,7 +44,7 @@
         // era. They may be older than the ones before.
         std::function<void(const std::map<std::string, StoredObject> &)> onRestored
                 = [](const auto &) {};
-        // Called when a response of the store had a higher era than any before.
+        // Called when the store, or a snapshot, had a higher era than any before.
         std::function<void(std::uint64_t era)> onEraRaised = [](std::uint64_t) {};
     };
 
--- a/tests/ObjectReplicaTest.cpp
+++ b/tests/ObjectReplicaTest.cpp
@@ -1,28 +1,22 @@
 #include "edge/ObjectReplica.h"
 
+#include "ScriptedStore.h"
 #include "platform/PlatformFormat.h"
-#include "standin/RawSocket.h"
 
 #include <doctest/doctest.h>
 
-#include <atomic>
-#include <thread>
-
 namespace basildeck::test {
 
 namespace {
 
-using standin::RawListener;
-using standin::RawSocket;
-
 // A replica with its own event loop, connected to a store whose responses the test scripts.
 class ReplicaFixture
 {
 public:
     ReplicaFixture()
-        : m_store(RawListener::make("127.0.0.1", 0))
+        : m_store(m_loop)
         , m_protocol(platform::objectProtocol())
-        , m_replica(m_loop, m_protocol, m_store->address(), "servers",
+        , m_replica(m_loop, m_protocol, m_store.address(), "servers",
                     { [this](const StoredObject &object) { m_events += "+" + object.name + " "; },
                       [this](const std::string &name) { m_events += "-" + name + " "; },
                       [this] { m_events += "."; },
@@ -32,71 +26,29 @@
         m_replica.start();
     }
 
-    // Runs the loop until the store has received a request, and returns its request line.
-    std::string awaitRequest()
-    {
-        if (!m_socket)
-            m_socket = acceptWhileRunningLoop();
-        for (;;) {
-            const auto &buffer = m_socket->buffer();
-            const std::size_t end = buffer.find("\r\n\r\n");
-            if (end != std::string::npos) {
-                const std::string line = buffer.substr(0, buffer.find("\r\n"));
-                m_socket->buffer().erase(0, end + 4);
-                return line;
-            }
-            runLoopOnce();
-            m_socket->setTimeout(5);
-            m_socket->receive();
-        }
-    }
-
+    std::string awaitRequest() { return m_store.awaitRequest(); }
     void respond(int status, const std::string &body, const std::string &era = "")
     {
-        m_socket->send("HTTP/1.1 " + std::to_string(status)
-                       + " X\r\nContent-Length: " + std::to_string(body.size()) + "\r\n"
-                       + (era.empty() ? era : "Store-Era: " + era + "\r\n") + "\r\n" + body);
+        m_store.respond(status, body, era);
     }
-
-    void closeConnection() { m_socket.reset(); }
+    void closeConnection() { m_store.closeConnection(); }
 
     // Runs the loop until the expected amount of events was reported, and returns and clears them.
     std::string takeEvents(const std::string &expected)
     {
         for (int i = 0; i < 2000 && m_events.size() < expected.size(); ++i)
-            runLoopOnce();
+            m_store.runLoopOnce();
         return std::exchange(m_events, {});
     }
 
     ObjectReplica &replica() { return m_replica; }
 
 private:
-    void runLoopOnce()
-    {
-        uv_run(m_loop.handle(), UV_RUN_NOWAIT);
-        std::this_thread::yield();
-    }
-
-    std::unique_ptr<RawSocket> acceptWhileRunningLoop()
-    {
-        std::unique_ptr<RawSocket> socket;
-        std::atomic<bool> accepted{ false };
-        std::thread thread([&] {
-            socket = m_store->accept();
-            accepted = true;
-        });
-        while (!accepted)
-            runLoopOnce();
-        thread.join();
-        return socket;
-    }
-
     EventLoop m_loop;
-    std::unique_ptr<RawListener> m_store;
+    ScriptedStore m_store;
     ObjectProtocol m_protocol;
     std::string m_events;
     ObjectReplica m_replica;
-    std::unique_ptr<RawSocket> m_socket;
 };
 
 std::string objectJson(const std::string &name, int revision)
--- a/tests/PeerTableTest.cpp
+++ b/tests/PeerTableTest.cpp
@@ -69,6 +69,23 @@
     CHECK_FALSE(first.vmToDeregister(now));
 }
 
+TEST_CASE("the registration of a VM that left is removed again once the VM is silent")
+{
+    Time now = Time() + seconds(100);
+    PeerTable first("a");
+    PeerTable second("b");
+    for (PeerTable *table : { &first, &second })
+        table->setRegistered({ { "a", { "a:1" } }, { "b", { "b:1" } } }, now);
+    first.recordHeartbeat(makeHeartbeat("b", 1, 1), now);
+    first.recordHeartbeat(makeHeartbeat("c", 1, 1), now);
+    second.recordHeartbeat(makeHeartbeat("a", 1, 1), now);
+    CHECK_FALSE(first.vmToDeregister(now, { "c" }));
+    CHECK_FALSE(second.vmToDeregister(now, { "c" }));
+    now += PeerTable::minReachabilityTimeout + seconds(1);
+    CHECK(first.vmToDeregister(now, { "c" }) == "c");
+    CHECK_FALSE(first.vmToDeregister(now, { "a" }));
+}
+
 TEST_CASE("a larger fleet has a longer heartbeat interval and reachability timeout")
 {
     PeerTable table("self");
