After a restore, the last change is the revision of the newest object

ObjectReplicaTest: "a store that was restored from an older copy is listed again although its revision is lower" checks the last change too.

--- a/src/edge/ObjectReplica.cpp
+++ b/src/edge/ObjectReplica.cpp
@@ -179,7 +179,9 @@
         // Revisions of the earlier era say nothing about the changes since then.
         m_log.clear();
         m_logStart = version.revision;
-        m_lastChange = version;
+        m_lastChange = { version.era, 0 };
+        for (const auto &[name, object] : m_objects)
+            m_lastChange.revision = std::max(m_lastChange.revision, object.revision);
         m_callbacks.onRestored(m_objects);
         m_callbacks.onBatchApplied();
         return;
--- a/tests/ObjectReplicaTest.cpp
+++ b/tests/ObjectReplicaTest.cpp
@@ -180,6 +180,7 @@
         CHECK_FALSE(fixture.replica().objects().contains("x"));
         CHECK(fixture.takeEvents("restored .").find("restored .") != std::string::npos);
         CHECK(fixture.replica().version() == StoreVersion{ 4, 5 });
+        CHECK(fixture.replica().lastChange() == StoreVersion{ 4, 4 });
         CHECK(fixture.replica().hasChangesSince({ 3, 9 }));
     }
 }
