Soak: the store comes back from a copy

Seen by callers: after the store had come back from a copy some seconds old, VMs handled requests by an older configuration (404 on routes that are there), and sent requests to draining targets.

Cause: the store of the soak never went back, targets wrote no check-ins, and nothing asked a VM for its configuration.

Change: the store keeps copies of its last seconds and says Store-Era in all answers. The fault "store restored" takes it away for 0.5 to 2.5 s and brings it back with the objects and the revision of a copy of 1 to 9 s, one era on: open watches are cut, a watch from a revision above the store's receives 410. Operator and targets write theirs again 1 to 2 s later, removals too. Each restore is a random fault, and once after the recovery a drill without other faults, amid changes of the configuration and of targets. Each version adds a route; probes ask each VM for the newest, and for the newest that its process has shown. checkConfig: a VM in touch for 4 s handles by a version 2.5 s after its acknowledgement, and no process goes back. checkRefusals: no 401, 403 or 404 on the callers' routes. checkDraining is stricter: it looks at disturbances before each request, where it looked at the last of the whole soak. Open watches are told, after a fault of the store, of changes made in it. checkShutdown names what became of the request in front of a lost one.

--- a/tools/soak/Soak.cpp
+++ b/tools/soak/Soak.cpp
@@ -9,8 +9,6 @@
 
 namespace basildeck::soak {
 
-using nlohmann::json;
-
 namespace {
 
 constexpr std::size_t vmCount = 5;
@@ -20,6 +18,14 @@
 constexpr Duration meanFaultInterval = milliseconds(500);
 constexpr Duration maxFaultDuration = milliseconds(3000);
 constexpr std::size_t longTargetCount = 3;
+constexpr Duration settlingTime = seconds(4);
+constexpr Duration minRestoreOutage = milliseconds(500);
+constexpr Duration maxRestoreOutage = milliseconds(2500);
+constexpr Duration minCopyAge = seconds(1);
+constexpr Duration maxCopyAge = seconds(9);
+constexpr Duration minRewriteDelay = seconds(1);
+constexpr Duration maxRewriteDelay = seconds(2);
+constexpr Duration drillChangeInterval = seconds(2);
 constexpr Duration recoveryBound = seconds(15);
 constexpr Duration steadyPhase = seconds(3);
 constexpr Duration maxSecondSigtermDelay = seconds(3);
@@ -53,21 +59,23 @@
         callLater(m_loop, warmUp, [this] {
             m_callers->start(requestsPerSecond);
             m_longCallers->start();
+            m_probes->start();
             m_faultPhaseEnd = m_loop.now() + m_options.faultDuration;
             injectFault();
         });
         m_loop.run();
         cancelCalls();
-        const std::vector<std::string> violations
-                = checkInvariants({ *m_callers, *m_longCallers, *m_targets, *m_vms,
-                                    m_storeDisturbedUntil, m_steadyPhaseStart, m_steadyPhaseEnd });
+        const std::vector<std::string> violations = checkInvariants(
+                { *m_callers, *m_longCallers, *m_probes, *m_operator, *m_targets, *m_vms,
+                  m_storeDisturbances, m_steadyPhaseStart, m_steadyPhaseEnd });
         m_violations.insert(m_violations.end(), violations.begin(), violations.end());
         std::ostringstream summary;
         summary << m_callers->requests().size() << " requests and "
                 << m_longCallers->requests().size() << " long ones, " << countStatus(200)
                 << " served, " << countStatus(429) << " over quota, " << countStatus(503)
-                << " refused, " << m_injectedFaultCount << " faults injected, "
-                << m_violations.size() << " violations";
+                << " refused, " << m_injectedFaultCount << " faults injected, " << m_callsInDrill
+                << " calls to the store in the restore drill, " << m_violations.size()
+                << " violations";
         return { summary.str(), m_violations };
     }
 
@@ -89,7 +97,8 @@
         m_store = SoakStore::make(m_loop, storeAddress);
         if (!m_store)
             return false;
-        putConfig();
+        m_operator = std::make_unique<SoakOperator>(m_loop, *m_store);
+        m_operator->updateConfig();
         m_targets = std::make_unique<SoakTargets>(m_loop, *m_store, m_trafficRandom);
         for (std::size_t i = 0; i < targetCount; ++i) {
             if (!addTarget("svc"))
@@ -108,6 +117,7 @@
         }
         m_vms->setStartCallback([this](std::size_t vm) { handleVmStart(vm); });
         m_callers = std::make_unique<SoakCallers>(m_loop, *m_vms, m_trafficRandom);
+        m_probes = std::make_unique<SoakProbes>(m_loop, *m_vms, *m_operator);
         m_longCallers = std::make_unique<SoakLongCallers>(m_loop, *m_vms, m_trafficRandom());
         return true;
     }
@@ -120,45 +130,6 @@
                               { loopbackIp(3, number), 8080 }, { loopbackIp(4, number), 8080 });
     }
 
-    void putConfig()
-    {
-        const std::string longService(SoakTargets::longService);
-        const auto route = [](const std::string &prefix, const std::string &type,
-                              const std::string &service, const std::string &timeout) {
-            return json{ { "name", prefix },        { "host", "soak.example" },
-                         { "path_prefix", prefix }, { "type", type },
-                         { "timeout", timeout },    { "aim", "1000ms" },
-                         { "priority", 1 },         { "service", service },
-                         { "attempts", 2 },         { "public", false },
-                         { "affinity", true },      { "allowed_regions", json::array() } };
-        };
-        json tenants = json::array();
-        for (const auto &[key, name] : SoakCallers::organisationsByKey()) {
-            const bool isLimited = name == "limited";
-            tenants.push_back({ { "name", name },
-                                { "api_keys", { key } },
-                                { "rate_per_s", isLimited ? SoakCallers::limitedRate : 0 },
-                                { "burst", isLimited ? SoakCallers::limitedBurst : 0 } });
-        }
-        ++m_configVersion;
-        m_store->put("config", "main",
-                     { { "version", std::to_string(m_configVersion) },
-                       { "routes",
-                         { route("/safe/", "safe", "svc", "1500ms"),
-                           route("/unsafe/", "unsafe", "svc", "1500ms"),
-                           route("/long/", "safe", longService, "8000ms"),
-                           route("/upload/", "unsafe", longService, "8000ms") } },
-                       { "services",
-                         { { { "name", "svc" }, { "max_connections", 390 } },
-                           { { "name", longService }, { "max_connections", 390 } } } },
-                       { "limits",
-                         { { "max_header_bytes", 16384 },
-                           { "max_body_bytes", 1000000 },
-                           { "header_timeout", "3000ms" },
-                           { "idle_timeout", "15000ms" } } },
-                       { "tenants", tenants } });
-    }
-
     // Injects a random fault and schedules the next one, until the fault phase ends.
     void injectFault()
     {
@@ -187,7 +158,7 @@
             injectRollingStop();
             break;
         default:
-            injectFleetChange();
+            injectFleetChange(static_cast<FleetChange>(randomIndex(4)));
         }
         callLater(m_loop, milliseconds(randomIndex(2 * (meanFaultInterval / milliseconds(1)))),
                   [this] { injectFault(); });
@@ -264,9 +235,13 @@
     {
         static constexpr std::array<StoreMode, 3> modes
                 = { StoreMode::Unavailable, StoreMode::Unresponsive, StoreMode::DropResponses };
-        const std::size_t kind = randomIndex(modes.size() + 1);
+        const std::size_t kind = randomIndex(modes.size() + 2);
+        if (kind > modes.size()) {
+            restoreStore();
+            return;
+        }
         logEvent("store fault " + std::to_string(kind));
-        m_storeDisturbedUntil = m_loop.now() + duration;
+        m_storeDisturbances.push_back({ m_loop.now(), m_loop.now() + duration });
         if (kind == modes.size()) {
             m_store->compactHistory();
             return;
@@ -275,6 +250,52 @@
         callLater(m_loop, duration, [this] { m_store->setMode(StoreMode::Normal); });
     }
 
+    // Takes the store away for a moment; it comes back from a copy. Returns for how long it is
+    // away.
+    Duration restoreStore()
+    {
+        const Duration outage
+                = minRestoreOutage + randomDuration(maxRestoreOutage - minRestoreOutage);
+        const Duration age = minCopyAge + randomDuration(maxCopyAge - minCopyAge);
+        std::ostringstream event;
+        event << "store away for " << toSeconds(outage) << " s, restored from a copy of "
+              << toSeconds(age) << " s";
+        logEvent(event.str());
+        m_storeDisturbances.push_back({ m_loop.now(), m_loop.now() + outage });
+        m_store->setMode(StoreMode::Unavailable);
+        m_store->cutWatches();
+        callLater(m_loop, outage, [this, time = m_loop.now() - age] {
+            m_store->restore(time);
+            m_store->setMode(StoreMode::Normal);
+            m_targets->writeAgain(minRewriteDelay, maxRewriteDelay);
+        });
+        callLater(m_loop,
+                  outage + minRewriteDelay + randomDuration(maxRewriteDelay - minRewriteDelay),
+                  [this] { m_operator->writeAgain(); });
+        return outage;
+    }
+
+    // A restore of the store without other faults, amid changes of the fleet.
+    void drillRestore()
+    {
+        m_callsBeforeDrill = m_store->callCount();
+        injectFleetChange(FleetChange::Config);
+        injectFleetChange(FleetChange::Target);
+        callLater(m_loop, drillChangeInterval, [this] {
+            injectFleetChange(FleetChange::Config);
+            const Duration outage = restoreStore();
+            for (int i = 1; i <= 2; ++i)
+                callLater(m_loop, outage + i * settlingTime / 2, [this] {
+                    injectFleetChange(FleetChange::Config);
+                    injectFleetChange(FleetChange::Target);
+                });
+            callLater(m_loop, outage + 2 * settlingTime, [this] {
+                m_callsInDrill = m_store->callCount() - m_callsBeforeDrill;
+                shutDown();
+            });
+        });
+    }
+
     void injectStoreLinkFault(Duration duration)
     {
         static constexpr std::array<ProxyMode, 5> modes
@@ -310,27 +331,27 @@
         callLater(m_loop, duration, [this, id] { m_targets->setMode(id, TargetMode::Healthy); });
     }
 
-    void injectFleetChange()
+    enum class FleetChange { Config, Target, Disconnect, Evacuation };
+
+    void injectFleetChange(FleetChange kind)
     {
-        const std::size_t kind = randomIndex(4);
-        if (kind == 0) {
+        if (kind == FleetChange::Config) {
             logEvent("configuration is updated");
-            putConfig();
-        } else if (kind == 1) {
+            m_operator->updateConfig();
+        } else if (kind == FleetChange::Target) {
             const auto ids = m_targets->ids();
             const std::string &id = ids.at(randomIndex(ids.size()));
             logEvent("target " + id + " is replaced");
             if (!addTarget("svc"))
                 m_violations.emplace_back("the address of a new target is in use");
             m_targets->drain(id);
-        } else if (kind == 2) {
+        } else if (kind == FleetChange::Disconnect) {
             logEvent("callers disconnect");
             m_callers->disconnectSome();
         } else {
             logEvent("zone is evacuated");
-            m_store->put("evacuations", "south-a", json::object());
-            callLater(m_loop, maxFaultDuration,
-                      [this] { m_store->remove("evacuations", "south-a"); });
+            m_operator->evacuate("south-a");
+            callLater(m_loop, maxFaultDuration, [this] { m_operator->endEvacuation("south-a"); });
         }
     }
 
@@ -349,13 +370,14 @@
         callLater(m_loop, recoveryBound, [this] { m_steadyPhaseStart = m_loop.now(); });
         callLater(m_loop, recoveryBound + steadyPhase, [this] {
             m_steadyPhaseEnd = m_loop.now();
-            callLater(m_loop, seconds(3), [this] { shutDown(); });
+            drillRestore();
         });
     }
 
     void shutDown()
     {
         m_callers->stop();
+        m_probes->stop();
         // The callers of long runs go on, so that each VM's last shutdown is checked without
         // faults.
         m_vms->terminateAll();
@@ -388,17 +410,20 @@
     int m_subnet;
     EventLoop m_loop;
     std::unique_ptr<SoakStore> m_store;
+    std::unique_ptr<SoakOperator> m_operator;
     std::unique_ptr<SoakTargets> m_targets;
     std::unique_ptr<SoakVms> m_vms;
     std::unique_ptr<SoakCallers> m_callers;
     std::unique_ptr<SoakLongCallers> m_longCallers;
+    std::unique_ptr<SoakProbes> m_probes;
     std::vector<std::string> m_violations;
     std::size_t m_lastTargetNumber = 0;
-    int m_configVersion = 0;
     int m_injectedFaultCount = 0;
     std::size_t m_startCount = 0;
     Time m_faultPhaseEnd{};
-    Time m_storeDisturbedUntil{};
+    std::vector<StoreDisturbance> m_storeDisturbances;
+    std::uint64_t m_callsBeforeDrill = 0;
+    std::uint64_t m_callsInDrill = 0;
     Time m_steadyPhaseStart{};
     Time m_steadyPhaseEnd{};
 };
--- a/tools/soak/SoakChecks.cpp
+++ b/tools/soak/SoakChecks.cpp
@@ -10,6 +10,7 @@
 
 // The platform's bounds, with the values that its settings have.
 constexpr Duration settlingTime = seconds(4);
+constexpr Duration configBound = milliseconds(2500);
 constexpr Duration drainBound = milliseconds(2500);
 constexpr Duration quotaWindow = seconds(5);
 // Around a shutdown: until when requests are checked, until when the target's work excuses nothing,
@@ -46,6 +47,8 @@
         checkQuota();
         checkDraining();
         checkShutdown();
+        checkConfig();
+        checkRefusals();
         checkRecovery();
         return m_violations;
     }
@@ -63,7 +66,7 @@
             else if (longRequest != longRequests.end())
                 checkExecution(id, execution, longRequest->second.unsafe,
                                longRequest->second.status);
-            else
+            else if (!m_records.probes.probes().contains(id))
                 m_violations.push_back(id + " was executed, but no caller sent it");
         }
     }
@@ -101,8 +104,19 @@
         }
     }
 
-    // The bound applies only while the VM has been in touch with the store: neither the VM, its
-    // store link nor the store was disturbed within the last settlingTime.
+    // Whether neither the VM, its store link nor the store was disturbed within settlingTime before
+    // a time.
+    bool isInTouch(std::size_t vm, Time time) const
+    {
+        const bool isStoreStable = std::none_of(
+                m_records.storeDisturbances.begin(), m_records.storeDisturbances.end(),
+                [&](const StoreDisturbance &disturbance) {
+                    return disturbance.from <= time && time <= disturbance.until + settlingTime;
+                });
+        return isStoreStable && !m_records.vms.wasDisturbed(vm, time - settlingTime, time);
+    }
+
+    // The bound applies to VMs that are in touch.
     void checkDraining()
     {
         for (const SoakTargets::DrainingArrival &arrival : m_records.targets.drainingArrivals()) {
@@ -110,9 +124,7 @@
             if (arrival.sinceDraining <= drainBound
                 || request == m_records.callers.requests().end())
                 continue;
-            const Time disturbedUntil = std::max(m_records.vms.lastDisturbance(request->second.vm),
-                                                 m_records.storeDisturbedUntil);
-            if (arrival.time > disturbedUntil + settlingTime)
+            if (isInTouch(request->second.vm, arrival.time))
                 m_violations.push_back(arrival.requestId + " reached a target "
                                        + std::to_string(toSeconds(arrival.sinceDraining))
                                        + " s after the target started to drain");
@@ -155,13 +167,13 @@
                && workEnd >= sigterm + lateWorkStart;
     }
 
-    static std::string describeLostRequest(const std::string &id, const LongRequestRecord &request,
-                                           const ExecutionRecord &execution, Time sigterm)
+    std::string describeLostRequest(const std::string &id, const LongRequestRecord &request,
+                                    const ExecutionRecord &execution, Time sigterm) const
     {
         std::ostringstream text;
         text.precision(3);
         text << std::fixed << id << " (" << habitName(request.habit)
-             << (request.isBehindAnother ? ", behind another" : "") << ") ";
+             << (request.previousId.empty() ? "" : ", behind " + request.previousId) << ") ";
         if (request.status == 0)
             text << "ended without a response";
         else
@@ -174,9 +186,67 @@
             text << " to " << toSeconds(*execution.lastEnd - sigterm) << " s ("
                  << (execution.lastCompleted ? "completed" : "broken off") << ")";
         text << ", ended at " << toSeconds(*request.endedAt - sigterm) << " s";
+        const auto previous = m_records.longCallers.requests().find(request.previousId);
+        if (previous != m_records.longCallers.requests().end() && previous->second.endedAt)
+            text << "; " << previous->first << " was answered " << previous->second.status
+                 << " and ended at " << toSeconds(*previous->second.endedAt - sigterm) << " s";
         return text.str();
     }
 
+    // A VM that is in touch handles requests by a version soon after its acknowledgement. A process
+    // that has shown the effect of a version does not go back to an older one.
+    void checkConfig()
+    {
+        std::map<std::pair<std::size_t, std::size_t>, std::map<int, Time>> seenAt; // by VM, process
+        for (const auto &[id, probe] : m_records.probes.probes()) {
+            if (probe.status != 200)
+                continue;
+            Time &time = seenAt[{ probe.vm, probe.process }]
+                                 .try_emplace(probe.version, probe.answeredAt)
+                                 .first->second;
+            time = std::min(time, probe.answeredAt);
+        }
+        for (const auto &[id, probe] : m_records.probes.probes()) {
+            if (probe.status != 401 && probe.status != 404)
+                continue;
+            const auto &seen = seenAt[{ probe.vm, probe.process }];
+            for (auto newer = seen.lower_bound(probe.version); newer != seen.end(); ++newer) {
+                if (newer->second < probe.sentAt) {
+                    m_violations.push_back(describeProbe(id, probe) + " after it had shown version "
+                                           + std::to_string(newer->first));
+                    break;
+                }
+            }
+            const Duration age
+                    = probe.sentAt - m_records.fleetOperator.acknowledgements().at(probe.version);
+            if (age > configBound && isInTouch(probe.vm, probe.sentAt))
+                m_violations.push_back(describeProbe(id, probe) + " "
+                                       + std::to_string(toSeconds(age))
+                                       + " s after its acknowledgement");
+        }
+    }
+
+    static std::string describeProbe(const std::string &id, const ProbeRecord &probe)
+    {
+        return id + ": vm-" + std::to_string(probe.vm + 1) + " answered "
+               + std::to_string(probe.status) + " on the route of version "
+               + std::to_string(probe.version);
+    }
+
+    // No configuration of the soak lacks the callers' routes and keys.
+    void checkRefusals()
+    {
+        const auto check = [&](const std::string &id, std::size_t vm, int status) {
+            if (status == 401 || status == 403 || status == 404)
+                m_violations.push_back(id + " was answered " + std::to_string(status) + " by vm-"
+                                       + std::to_string(vm + 1));
+        };
+        for (const auto &[id, request] : m_records.callers.requests())
+            check(id, request.vm, request.status);
+        for (const auto &[id, request] : m_records.longCallers.requests())
+            check(id, request.vm, request.status);
+    }
+
     void checkRecovery()
     {
         double sent = 0;
--- a/tools/soak/SoakChecks.h
+++ b/tools/soak/SoakChecks.h
@@ -2,6 +2,7 @@
 
 #include "soak/SoakCallers.h"
 #include "soak/SoakLongCallers.h"
+#include "soak/SoakProbes.h"
 #include "soak/SoakTargets.h"
 
 #include <string>
@@ -9,14 +10,23 @@
 
 namespace basildeck::soak {
 
+// A period in which a fault was injected into the store.
+struct StoreDisturbance
+{
+    Time from;
+    Time until;
+};
+
 // What callers, targets and the soak itself recorded.
 struct SoakRecords
 {
     const SoakCallers &callers;
     const SoakLongCallers &longCallers;
+    const SoakProbes &probes;
+    const SoakOperator &fleetOperator;
     const SoakTargets &targets;
     const SoakVms &vms;
-    Time storeDisturbedUntil;
+    const std::vector<StoreDisturbance> &storeDisturbances;
     Time steadyPhaseStart; // after the recovery from all faults
     Time steadyPhaseEnd;
 };
--- a/tools/soak/SoakLongCallers.cpp
+++ b/tools/soak/SoakLongCallers.cpp
@@ -125,10 +125,12 @@
     const std::size_t firstPart
             = habit == CallerHabit::SplitBody ? text.size() - splitBodyBytes / 2 : text.size();
     LongRequestRecord &record = m_requests[id];
-    record = {
-        isUnsafe,    habit, connection->vm, connection->process, !connection->unansweredIds.empty(),
-        m_loop.now()
-    };
+    record = { isUnsafe,
+               habit,
+               connection->vm,
+               connection->process,
+               connection->unansweredIds.empty() ? std::string() : connection->unansweredIds.back(),
+               m_loop.now() };
     connection->unansweredIds.push_back(id);
     if (firstPart < text.size())
         callLater(m_loop, randomDuration(Duration(0), maxBodyPause),
--- a/tools/soak/SoakLongCallers.h
+++ b/tools/soak/SoakLongCallers.h
@@ -27,8 +27,8 @@
     bool unsafe = false;
     CallerHabit habit = CallerHabit::Plain;
     std::size_t vm = 0;
-    std::size_t process = 0;      // index of the VM's process to which it was sent
-    bool isBehindAnother = false; // was sent while an earlier request was unanswered
+    std::size_t process = 0; // index of the VM's process to which it was sent
+    std::string previousId;  // of the unanswered request behind which it was sent, if any
     Time firstByteAt;
     std::optional<Time> lastByteAt;
     std::optional<Time> endedAt; // of the response or the connection
--- a/tools/soak/SoakStore.cpp
+++ b/tools/soak/SoakStore.cpp
@@ -12,6 +12,8 @@
 
 constexpr std::string_view objectsPathPrefix = "/api/objects/";
 constexpr std::size_t maxBodyBytes = 1 << 20;
+constexpr Duration copyInterval = milliseconds(250);
+constexpr std::size_t maxCopies = 48; // of 12 s
 
 std::string queryValue(const std::string &query, const std::string &name)
 {
@@ -24,6 +26,13 @@
 
 } // namespace
 
+SoakStore::SoakStore(EventLoop &loop)
+    : m_loop(loop)
+    , m_copyTimer(loop, [this] { keepCopy(); })
+{
+    m_copyTimer.startRepeating(copyInterval);
+}
+
 std::unique_ptr<SoakStore> SoakStore::make(EventLoop &loop, const Address &address)
 {
     std::unique_ptr<SoakStore> store(new SoakStore(loop));
@@ -49,8 +58,8 @@
 void SoakStore::sendResponse(const ResponseSink &sink, int status, const json &body)
 {
     const std::string text = body.dump();
-    sink.head("HTTP/1.1 " + std::to_string(status)
-              + " X\r\nContent-Length: " + std::to_string(text.size()) + "\r\n");
+    sink.head("HTTP/1.1 " + std::to_string(status) + " X\r\nStore-Era: " + std::to_string(m_era)
+              + "\r\nContent-Length: " + std::to_string(text.size()) + "\r\n");
     sink.body(text);
     sink.finish(false);
 }
@@ -128,7 +137,7 @@
 
 bool SoakStore::respondToWatch(const Watch &watch, bool timedOut)
 {
-    if (watch.afterRevision < m_compactedRevision) {
+    if (watch.afterRevision < m_compactedRevision || watch.afterRevision > m_revision) {
         sendResponse(watch.sink, 410, json::object());
         return true;
     }
@@ -146,18 +155,57 @@
 void SoakStore::recordChange(const std::string &kind, const json &object, bool deleted)
 {
     m_changes.push_back({ m_revision, kind, object, deleted });
+    notifyWatches();
+}
+
+void SoakStore::notifyWatches()
+{
     if (m_mode != StoreMode::Normal)
         return;
     const auto watches = m_watches;
     for (const Watch &watch : watches) {
-        if (watch.kind == kind && respondToWatch(watch, false))
+        if (respondToWatch(watch, false))
             std::erase_if(m_watches,
                           [&](const Watch &candidate) { return candidate.id == watch.id; });
     }
 }
 
+void SoakStore::setMode(StoreMode mode)
+{
+    m_mode = mode;
+    notifyWatches();
+}
+
+void SoakStore::cutWatches()
+{
+    for (const Watch &watch : std::exchange(m_watches, {}))
+        watch.sink.abort();
+}
+
+void SoakStore::keepCopy()
+{
+    m_copies.push_back({ m_loop.now(), m_revision, m_objects });
+    if (m_copies.size() > maxCopies)
+        m_copies.pop_front();
+}
+
+void SoakStore::restore(Time time)
+{
+    cutWatches();
+    while (m_copies.size() > 1 && m_copies.back().time > time)
+        m_copies.pop_back();
+    m_objects = m_copies.back().objects;
+    m_revision = m_copies.back().revision;
+    m_compactedRevision = std::min(m_compactedRevision, m_revision);
+    std::erase_if(m_changes, [&](const Change &change) { return change.revision > m_revision; });
+    ++m_era;
+}
+
 void SoakStore::put(const std::string &kind, const std::string &name, const json &spec)
 {
+    const auto known = m_objects[kind].find(name);
+    if (known != m_objects[kind].end() && known->second.at("spec") == spec)
+        return;
     ++m_revision;
     const json object = { { "metadata", { { "name", name }, { "revision", m_revision } } },
                           { "spec", spec } };
--- a/tools/soak/SoakStore.h
+++ b/tools/soak/SoakStore.h
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <string>
@@ -27,9 +28,17 @@
 public:
     static std::unique_ptr<SoakStore> make(EventLoop &loop, const Address &address);
 
-    void setMode(StoreMode mode) { m_mode = mode; }
+    // Changes made meanwhile are reported to open watches when the mode becomes Normal again.
+    void setMode(StoreMode mode);
     // Discards all changes so far. Watches from an older revision are answered with 410.
     void compactHistory();
+    // Aborts the connections of open watches.
+    void cutWatches();
+    // Goes back to the objects and the revision of an earlier time, and begins a new era. Revisions
+    // given out since are given out again; watches from a revision above the store's receive 410.
+    void restore(Time time);
+
+    std::uint64_t callCount() const { return m_nextRequestId - 1; }
 
     void put(const std::string &kind, const std::string &name, const nlohmann::json &spec);
     void remove(const std::string &kind, const std::string &name);
@@ -42,6 +51,12 @@
         nlohmann::json object;
         bool deleted;
     };
+    struct Copy
+    {
+        Time time;
+        std::uint64_t revision = 0;
+        std::map<std::string, std::map<std::string, nlohmann::json>> objects;
+    };
     struct Watch
     {
         std::uint64_t id;
@@ -50,25 +65,28 @@
         ResponseSink sink;
     };
 
-    explicit SoakStore(EventLoop &loop)
-        : m_loop(loop)
-    {}
+    explicit SoakStore(EventLoop &loop);
+    void keepCopy();
     std::uint64_t handleRequest(const IncomingRequest &request);
     void handleObjectRequest(const IncomingRequest &request);
     void sendList(const std::string &kind, const ResponseSink &sink);
     bool respondToWatch(const Watch &watch, bool timedOut);
     void recordChange(const std::string &kind, const nlohmann::json &object, bool deleted);
+    void notifyWatches();
     void sendResponse(const ResponseSink &sink, int status, const nlohmann::json &body);
 
     EventLoop &m_loop;
     std::unique_ptr<EdgeServer> m_server;
     StoreMode m_mode = StoreMode::Normal;
+    std::uint64_t m_era = 1;
     std::uint64_t m_revision = 1;
     std::uint64_t m_compactedRevision = 1;
     std::uint64_t m_nextRequestId = 1;
     std::map<std::string, std::map<std::string, nlohmann::json>> m_objects;
     std::vector<Change> m_changes;
     std::vector<Watch> m_watches;
+    std::deque<Copy> m_copies; // of the last seconds, oldest first
+    Timer m_copyTimer;
 };
 
 } // namespace basildeck::soak
--- a/tools/soak/SoakTargets.cpp
+++ b/tools/soak/SoakTargets.cpp
@@ -13,6 +13,7 @@
 constexpr int slowFactor = 15;
 // How long a draining target stays registered.
 constexpr Duration drainDuration = milliseconds(2500);
+constexpr Duration checkInInterval = seconds(1);
 constexpr std::size_t maxBodyBytes = 1 << 20;
 
 std::string field(const IncomingRequest &request, std::string_view name)
@@ -68,12 +69,41 @@
     if (!server || !target->proxy)
         return false;
     target->server = std::move(server.value());
-    writeRegistration(*target, "ready");
+    target->startedAtUnixMs = std::chrono::duration_cast<milliseconds>(
+                                      std::chrono::system_clock::now().time_since_epoch())
+                                      .count();
     m_targets[id] = std::move(target);
+    checkIn(id);
     return true;
 }
 
-void SoakTargets::writeRegistration(const Target &target, const std::string &state)
+void SoakTargets::checkIn(const std::string &id)
+{
+    Target &target = *m_targets.at(id);
+    if (!target.isRegistered)
+        return;
+    ++target.sequence;
+    writeRegistration(target);
+    callLater(m_loop, checkInInterval, [this, id] { checkIn(id); });
+}
+
+void SoakTargets::writeAgain(Duration from, Duration to)
+{
+    for (const auto &[id, target] : m_targets) {
+        const long delay = std::uniform_int_distribution<long>(from / milliseconds(1),
+                                                               to / milliseconds(1))(m_random);
+        callLater(m_loop, milliseconds(delay), [this, raw = target.get()] {
+            if (raw->drainingSince)
+                raw->drainingSince = m_loop.now();
+            if (raw->isRegistered)
+                writeRegistration(*raw);
+            else
+                m_store.remove("servers", raw->id);
+        });
+    }
+}
+
+void SoakTargets::writeRegistration(Target &target)
 {
     m_store.put("servers", target.id,
                 { { "service", target.service },
@@ -81,9 +111,10 @@
                   { "zone", target.zone },
                   { "version", "v1" },
                   { "slots", target.slots },
-                  { "state", state },
+                  { "state", target.drainingSince ? "draining" : "ready" },
                   { "cold_remaining", "0ms" },
-                  { "seq", 1 } });
+                  { "seq", target.sequence },
+                  { "born", target.startedAtUnixMs } });
 }
 
 void SoakTargets::setMode(const std::string &id, TargetMode mode)
@@ -102,8 +133,11 @@
     if (target.drainingSince)
         return;
     target.drainingSince = m_loop.now();
-    writeRegistration(target, "draining");
-    callLater(m_loop, drainDuration, [this, id] { m_store.remove("servers", id); });
+    writeRegistration(target);
+    callLater(m_loop, drainDuration, [this, &target] {
+        target.isRegistered = false;
+        m_store.remove("servers", target.id);
+    });
 }
 
 std::vector<std::string> SoakTargets::ids() const
--- a/tools/soak/SoakTargets.h
+++ b/tools/soak/SoakTargets.h
@@ -53,6 +53,9 @@
     void setProxyMode(const std::string &id, ProxyMode mode);
     // Registers a target as draining, and removes its registration later.
     void drain(const std::string &id);
+    // Each target writes its entry within a period to a store that was restored from a copy, or
+    // removes it again.
+    void writeAgain(Duration from, Duration to);
     // The targets that may be disturbed.
     std::vector<std::string> ids() const;
 
@@ -75,11 +78,14 @@
         std::string service;
         std::string zone;
         int slots = 0;
+        std::int64_t startedAtUnixMs = 0;
+        std::uint64_t sequence = 0;
+        bool isRegistered = true;
         Address proxyAddress;
         TargetMode mode = TargetMode::Healthy;
         std::unique_ptr<EdgeServer> server;
         std::unique_ptr<FaultProxy> proxy;
-        std::optional<Time> drainingSince;
+        std::optional<Time> drainingSince; // as last acknowledged by the store
         int runningRequests = 0;
     };
 
@@ -87,7 +93,8 @@
     void handleDisconnect(std::uint64_t exchangeId);
     void checkRequest(const IncomingRequest &request);
     void completeRequest(Target &target, const IncomingRequest &request, const std::string &id);
-    void writeRegistration(const Target &target, const std::string &state);
+    void writeRegistration(Target &target);
+    void checkIn(const std::string &id);
 
     EventLoop &m_loop;
     SoakStore &m_store;
--- a/tools/soak/SoakVms.cpp
+++ b/tools/soak/SoakVms.cpp
@@ -99,7 +99,7 @@
     vm.sigtermTime.reset();
     vm.sigkillTime.reset();
     vm.paused = false;
-    vm.lastDisturbance = m_loop.now();
+    recordDisturbance(index);
     vm.processes.emplace_back();
     if (m_startCallback)
         m_startCallback(index);
@@ -107,7 +107,7 @@
 
 void SoakVms::recordDisturbance(std::size_t vm)
 {
-    m_vms.at(vm).lastDisturbance = m_loop.now();
+    m_vms.at(vm).disturbances.push_back(m_loop.now());
 }
 
 void SoakVms::signal(std::size_t index, int signal)
@@ -160,6 +160,13 @@
                        [&](Time time) { return time >= from && time <= to; });
 }
 
+bool SoakVms::wasDisturbed(std::size_t vm, Time from, Time to) const
+{
+    const std::vector<Time> &times = m_vms.at(vm).disturbances;
+    return std::any_of(times.begin(), times.end(),
+                       [&](Time time) { return time >= from && time <= to; });
+}
+
 void SoakVms::pollProcesses()
 {
     const Time now = m_loop.now();
--- a/tools/soak/SoakVms.h
+++ b/tools/soak/SoakVms.h
@@ -65,8 +65,8 @@
     // Whether a process of the VM was killed, stopped or continued in a period.
     bool wasKilledOrPaused(std::size_t vm, Time from, Time to) const;
     Address callerAddress(std::size_t vm) const;
-    // The last time at which a fault was injected into the VM or its store link, or it was started.
-    Time lastDisturbance(std::size_t vm) const { return m_vms.at(vm).lastDisturbance; }
+    // Whether the VM was started, or a fault was injected into it or its store link, in a period.
+    bool wasDisturbed(std::size_t vm, Time from, Time to) const;
     void recordDisturbance(std::size_t vm);
     const std::vector<std::string> &violations() const { return m_violations; }
 
@@ -84,7 +84,7 @@
         std::optional<Time> sigkillTime;
         std::optional<Time> sigtermTime;
         bool paused = false;
-        Time lastDisturbance{};
+        std::vector<Time> disturbances;
     };
 
     void writeSettings(const Vm &vm, const std::string &zone, const std::string &region,
