Bring an evacuation into force that was requested again after a restore

Cause: evacuations have no order of their own, so RestoredObjectFilter compared revisions: a new evacuation of a zone whose last one had been taken back before the restore looked as if the copy had brought it back, and was kept waiting for 10 s by VMs that listed the new era after it.

Change: all evacuations in the store are in force at once. One that the copy brings back is taken back again by the operator, and costs only its targets until then.

--- a/src/edge/FleetView.cpp
+++ b/src/edge/FleetView.cpp
@@ -54,7 +54,7 @@
                      m_dependencies.targets.remove(name, m_dependencies.loop.now());
                  } },
                targetWatchDelay);
-    addReplica(format.evacuationKind, settlingTimes, {},
+    addReplica(format.evacuationKind, evacuationSettlingTimes, {},
                { [this](const StoredObject &object) {
                     m_dependencies.targets.setEvacuated(object.name, true,
                                                         m_dependencies.loop.now());
@@ -62,7 +62,7 @@
                  [this](const std::string &name) {
                      m_dependencies.targets.setEvacuated(name, false, m_dependencies.loop.now());
                  } });
-    addReplica(vmKind, settlingTimes, {},
+    addReplica(vmKind, vmSettlingTimes, {},
                { [](const StoredObject &) {}, [](const std::string &) {} });
 }
 
--- a/src/edge/FleetView.h
+++ b/src/edge/FleetView.h
@@ -47,7 +47,13 @@
     };
     static constexpr RestoredObjectFilter::SettlingTimes configSettlingTimes{ seconds(60),
                                                                               seconds(60) };
-    static constexpr RestoredObjectFilter::SettlingTimes settlingTimes{ seconds(10), seconds(10) };
+    // An evacuation in the store is in force at once. One that had been taken back is taken back
+    // again by the operator, but one that was requested again must not be kept waiting.
+    static constexpr RestoredObjectFilter::SettlingTimes evacuationSettlingTimes{
+        TargetTable::expiryGrace, Duration::zero()
+    };
+    static constexpr RestoredObjectFilter::SettlingTimes vmSettlingTimes{ seconds(10),
+                                                                          seconds(10) };
 
     struct Dependencies
     {
--- a/src/edge/RestoredObjectFilter.cpp
+++ b/src/edge/RestoredObjectFilter.cpp
@@ -106,7 +106,7 @@
             known->second.revision = object.revision;
             continue;
         }
-        if (!isFromCopy(object)) {
+        if (m_times.older == Duration::zero() || !isFromCopy(object)) {
             accept(object);
             continue;
         }
--- a/src/edge/RestoredObjectFilter.h
+++ b/src/edge/RestoredObjectFilter.h
@@ -25,7 +25,8 @@
     struct SettlingTimes
     {
         Duration missing; // of objects that the copy lacks
-        Duration older;   // of objects that are older in the copy, or had been deleted
+        Duration older;   // of objects that are older in the copy, or had been deleted; if zero,
+                          // all objects of the copy are in force at once
     };
 
     struct Callbacks
--- a/tests/RestoredObjectFilterTest.cpp
+++ b/tests/RestoredObjectFilterTest.cpp
@@ -19,8 +19,8 @@
 class Filter
 {
 public:
-    explicit Filter(ObjectOrder order)
-        : filter("kind", { missingTime, olderTime }, std::move(order),
+    explicit Filter(ObjectOrder order, Duration olderSettlingTime = olderTime)
+        : filter("kind", { missingTime, olderSettlingTime }, std::move(order),
                  { [this](const StoredObject &object) { m_events += "+" + object.name + " "; },
                    [this](const std::string &name) { m_events += "-" + name + " "; } })
     {}
@@ -57,6 +57,13 @@
     {}
 };
 
+struct EvacuationFilter : Filter
+{
+    EvacuationFilter()
+        : Filter({}, Duration::zero())
+    {}
+};
+
 StoredObject config(std::uint64_t revision, const std::string &version)
 {
     return { "main", revision, json{ { "version", version } } };
@@ -221,6 +228,20 @@
     CHECK(f.takeEvents() == "+lifted ");
 }
 
+TEST_CASE("an evacuation requested again with a lower revision is in force at once")
+{
+    EvacuationFilter f;
+    f.filter.stored(zone("a", 46), f.now);
+    f.filter.deleted("a", f.now);
+    f.filter.stored(zone("b", 47), f.now);
+    f.takeEvents();
+    f.filter.restored({ { "a", zone("a", 43) } }, f.now);
+    CHECK(f.takeEvents() == "+a ");
+    CHECK(f.filter.objects().contains("b")); // lost with the copy, not taken back
+    CHECK(f.filter.tick(f.now + missingTime));
+    CHECK(f.takeEvents() == "-b ");
+}
+
 TEST_CASE("a second restore starts the settling time again")
 {
     ConfigFilter f;
