--- a/src/edge/FleetView.cpp
+++ b/src/edge/FleetView.cpp
@@ -69,13 +69,12 @@
 FleetView::~FleetView() = default;
 
 void FleetView::addReplica(const std::string &kind, RestoredObjectFilter::SettlingTimes times,
-                           ObjectOrder order, RestoredObjectFilter::Callbacks callbacks,
-                           Duration watchDelay)
+                           const ObjectOrder &order,
+                           const RestoredObjectFilter::Callbacks &callbacks, Duration watchDelay)
 {
     EventLoop &loop = m_dependencies.loop;
     RestoredObjectFilter &filter
-            = m_filters.try_emplace(kind, kind, times, std::move(order), std::move(callbacks))
-                      .first->second;
+            = m_filters.try_emplace(kind, kind, times, order, callbacks).first->second;
     ObjectReplica::Callbacks replicaCallbacks{
         [&](const StoredObject &object) { filter.stored(object, loop.now()); },
         [&](const std::string &name) { filter.deleted(name, loop.now()); },
--- a/src/edge/FleetView.h
+++ b/src/edge/FleetView.h
@@ -101,7 +101,7 @@
     void deregisterLostVm();
     // Adds the replica of a kind, whose changes pass through a filter.
     void addReplica(const std::string &kind, RestoredObjectFilter::SettlingTimes times,
-                    ObjectOrder order, RestoredObjectFilter::Callbacks callbacks,
+                    const ObjectOrder &order, const RestoredObjectFilter::Callbacks &callbacks,
                     Duration watchDelay = ObjectReplica::minWatchDelay);
     ObjectReplica *replica(const std::string &kind) const;
     void settle();
--- a/src/edge/ObjectReplica.cpp
+++ b/src/edge/ObjectReplica.cpp
@@ -294,12 +294,12 @@
         retryLater(changes.error().detail);
         return;
     }
-    setReachable(true, "watched");
     // The revision from which the store reported changes is one of another history.
     if (m_watchEra != m_storeEra) {
         listAnew();
         return;
     }
+    setReachable(true, "watched");
     // A response older than a snapshot adopted in the meantime could restore deleted objects.
     if (changes.value().storeRevision < m_version.revision) {
         callAgainLater();
--- a/tests/ScriptedStore.h
+++ b/tests/ScriptedStore.h
@@ -32,7 +32,7 @@
             const auto &buffer = m_socket->buffer();
             const std::size_t end = buffer.find("\r\n\r\n");
             if (end != std::string::npos) {
-                const std::string line = buffer.substr(0, buffer.find("\r\n"));
+                std::string line = buffer.substr(0, buffer.find("\r\n"));
                 const std::size_t size = end + 4 + bodySize(buffer.substr(0, end));
                 if (buffer.size() >= size) {
                     m_socket->buffer().erase(0, size);
