--- a/src/edge/VmRegistration.h
+++ b/src/edge/VmRegistration.h
@@ -24,7 +24,7 @@
 
     // Registers this VM if its registration is missing among those in the store, or differs.
     void check(const std::map<std::string, StoredObject> &stored);
-    // The store may have lost the registration: it counts only once the store shows it.
+    // The store may have lost the registration, so the next check goes by what the store has.
     void invalidate() { m_isRegistered = false; }
     bool isRegistered() const { return m_isRegistered; }
     bool isBusy() const { return m_client.isBusy(); }
