Soak: short runs behind longer ones on a pipelined connection

Seen by callers: from 1.5 s after a SIGTERM a connection was closed behind a response while a later request of it was at a target, or had run.

Cause, as read in the code: a response is marked as the last of its connection when its head is written. It may wait for an earlier one, and requests that arrive meanwhile are still passed on.

Change: pipelined requests behind another run for 1 s at most and follow within 0.8 s, up to four on a connection.

--- a/tools/soak/SoakLongCallers.cpp
+++ b/tools/soak/SoakLongCallers.cpp
@@ -6,11 +6,14 @@
 
 constexpr std::size_t connectionsPerVm = 4;
 constexpr std::size_t visitsPerShutdown = 8;
-constexpr std::size_t maxUnansweredRequests = 3;
+constexpr std::size_t maxUnansweredRequests = 4;
 constexpr std::size_t maxHeadBytes = 16384;
 constexpr std::size_t splitBodyBytes = 40000;
 constexpr std::size_t longResponseBytes = 1000000;
 constexpr Duration maxRunTime = seconds(5);
+// A short run behind a longer one leaves its response waiting for the other.
+constexpr Duration maxRunTimeBehindAnother = seconds(1);
+constexpr Duration maxPipeliningInterval = milliseconds(800);
 constexpr Duration minReadingPause = milliseconds(20);
 constexpr Duration maxReadingPause = milliseconds(60);
 constexpr Duration maxThinkTime = milliseconds(400);
@@ -110,7 +113,8 @@
                                  || (habit == CallerHabit::Pipelining
                                      && std::uniform_int_distribution<int>(0, 2)(m_random) == 0);
     const std::string id = "long-" + std::to_string(m_nextRequestNumber++);
-    const Duration runTime = randomDuration(Duration(0), maxRunTime);
+    const Duration runTime = randomDuration(
+            Duration(0), connection->unansweredIds.empty() ? maxRunTime : maxRunTimeBehindAnother);
     const std::string path = (isUnsafe ? "/upload/" : "/long/")
                              + std::to_string(runTime / milliseconds(1)) + "/"
                              + std::to_string(hasLongResponse ? longResponseBytes : 0);
@@ -141,7 +145,7 @@
         record.lastByteAt = m_loop.now();
     connection->stream->write(std::string_view(text).substr(0, firstPart));
     if (habit == CallerHabit::Pipelining)
-        callLater(m_loop, randomDuration(Duration(0), maxRunTime / 2),
+        callLater(m_loop, randomDuration(Duration(0), maxPipeliningInterval),
                   [this, connectionId] { sendRequest(connectionId); });
 }
 
