Store stand-in: comes back from a copy of its objects

A store that loses what it has acknowledged could not be played: the stand-in's versions only rose, and nothing in its answers said which history they belong to.

PUT /copy copies all objects, PUT /restore comes back from that copy; StoreStandin::copyObjects and restoreObjects do the same from C++. The version counter goes back with the objects, so versions are given out again. Every response under /v1 carries the era in the header basildeck-store-era, and a watch from a version that the store does not have is answered at once with 410.

--- a/tools/standin/StoreStandin.cpp
+++ b/tools/standin/StoreStandin.cpp
@@ -124,6 +124,22 @@
     vm.changed = Clock::now();
 }
 
+void StoreStandin::copyObjects()
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    m_copy = m_objects;
+}
+
+bool StoreStandin::restoreObjects()
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    if (!m_copy)
+        return false;
+    m_objects = *m_copy;
+    ++m_era;
+    return true;
+}
+
 void StoreStandin::handle(HttpServer::RequestId id, const HttpRequest &request)
 {
     if (!request.path.starts_with("/v1/")) {
@@ -137,7 +153,7 @@
         return;
     }
     if (exceedsCallRate(now)) {
-        m_server->respond(id, jsonResponse(429, { { "error", "too many calls" } }));
+        respondLater(id, jsonResponse(429, { { "error", "too many calls" } }), now);
         return;
     }
     if (request.path.starts_with(watchPrefix)) {
@@ -154,6 +170,12 @@
         m_server->drop(id);
         return;
     }
+    respondLater(id, std::move(response), now);
+}
+
+void StoreStandin::respondLater(HttpServer::RequestId id, HttpResponse response, Time now)
+{
+    response.headers.push_back({ eraHeader, std::to_string(m_era) });
     m_delayedResponses.push_back({ now + m_faults.latency, id, std::move(response) });
 }
 
@@ -164,6 +186,15 @@
         m_server->respond(id, jsonResponse(200, json::object()));
         return;
     }
+    if (request.path == "/copy") {
+        copyObjects();
+        m_server->respond(id, jsonResponse(200, json::object()));
+        return;
+    }
+    if (request.path == "/restore") {
+        m_server->respond(id, jsonResponse(restoreObjects() ? 200 : 409, json::object()));
+        return;
+    }
     if (request.path == "/faults") {
         const json body = json::parse(request.body, nullptr, false);
         if (body.is_discarded()) {
@@ -261,13 +292,15 @@
             m_server->drop(watch.id);
             return true;
         }
+        if (watch.from > m_objects.version()) {
+            respondLater(watch.id, jsonResponse(410, { { "error", "no such version" } }), now);
+            return true;
+        }
         const auto newer = m_objects.list(watch.kind, watch.from);
         const bool hasNewer = !newer.empty() && newer.front().version > watch.from;
         if (!hasNewer && watch.expires > now)
             return false;
-        m_delayedResponses.push_back(
-                { now + m_faults.latency, watch.id,
-                  jsonResponse(200, objectListJson(newer, m_objects.version())) });
+        respondLater(watch.id, jsonResponse(200, objectListJson(newer, m_objects.version())), now);
         return true;
     });
 }
