entry orders versions of the store by the era in which they were written

What callers saw: after the store came back from a copy, edits that it had acknowledged stayed lost in it, the next edit was built on the older document and reached no VM, because its version number was not above the lost one, and the table of holders never changed again.

Cause: StoreTask, the datagrams, ConfigHistory, HolderView and EditRunner compared version numbers as if the store only counted up.

Change: StoreVersion orders by (era of the write, number). Configuration and table of holders state in the store the era in which they were written. The configuration in force stays in force; a second after a restore a watcher writes it again. An edit waits for that, and starts anew if a restore may have undone its write. The proposer writes a table that all VMs listed or heard of have to confirm; until then nobody uses more than before, and an acknowledgement of a later era does not complete a lost table.

--- a/src/admin/AdminTask.cpp
+++ b/src/admin/AdminTask.cpp
@@ -54,11 +54,16 @@
     if (!task->m_server || !task->m_store)
         return nullptr;
     task->m_edits = std::make_unique<EditRunner>(*task->m_store);
-    task->m_loop->setOnTick([self] { self->m_store->expire(Clock::now()); });
+    task->m_loop->setOnTick([self] {
+        self->m_store->expire(Clock::now());
+        self->m_edits->tick(Clock::now());
+    });
     task->m_loop->setOnWake([self] {
         for (AdminMessage &message : self->m_mailbox.takeAll()) {
             if (const auto *response = std::get_if<StatusResponse>(&message))
                 self->onStatusResponse(*response);
+            else if (const auto *document = std::get_if<ConfigDocument>(&message))
+                self->m_edits->setActiveVersion(document->version);
         }
     });
     task->m_mailbox.setWake([self] { self->m_loop->wake(); });
@@ -76,12 +81,14 @@
     m_loop.reset();
 }
 
-void AdminTask::connect(Mailbox<FrontMessage> &front, const PeerTask::Statistics &peer,
-                        const StoreTask::Statistics &store)
+void AdminTask::connect(Mailbox<FrontMessage> &front, Mailbox<PeerMessage> &peer,
+                        const PeerTask::Statistics &peerStatistics,
+                        const StoreTask::Statistics &storeStatistics)
 {
     m_front = &front;
-    m_peerStatistics = &peer;
-    m_storeStatistics = &store;
+    m_peer = &peer;
+    m_peerStatistics = &peerStatistics;
+    m_storeStatistics = &storeStatistics;
 }
 
 void AdminTask::run()
@@ -173,6 +180,7 @@
     counter("basildeck_peer_packets_refused_total", m_peerStatistics->packetsRefused);
     counter("basildeck_config_syncs_total", m_peerStatistics->configSyncs);
     gauge("basildeck_config_version", m_peerStatistics->configVersion);
+    gauge("basildeck_config_era", m_peerStatistics->configEra);
     counter("basildeck_store_calls_total", m_storeStatistics->calls);
     counter("basildeck_store_failures_total", m_storeStatistics->failures);
     counter("basildeck_claim_writes_total", m_storeStatistics->claimWrites);
@@ -192,12 +200,14 @@
         return;
     }
     if (request.method == "GET" && request.path == "/admin/v1/config") {
-        m_edits->read([this, id](Result<std::pair<std::uint64_t, json>> current) {
+        m_edits->read([this, id](Result<StoredConfig> current) {
             if (!current)
                 refuse(id, ErrorKind::StoreUnavailable, current.error().detail);
             else
-                m_server->respond(id, jsonResponse(200, { { "version", current.value().first },
-                                                          { "config", current.value().second } }));
+                m_server->respond(id,
+                                  jsonResponse(200, { { "version", current.value().version.number },
+                                                      { "era", current.value().version.era },
+                                                      { "config", current.value().document } }));
         });
         return;
     }
@@ -214,11 +224,15 @@
     const std::string newKey = edit.newKey;
     m_edits->run(std::move(edit), [this, id, newKey](const EditResult &result) {
         if (result.version) {
-            json body = { { "version", result.version.value() } };
+            const StoreVersion &version = result.version.value();
+            // This VM follows and spreads the edit at once, whether or not it watches the store.
+            m_peer->post(ConfigDocument{
+                    version, std::make_shared<const std::string>(result.document.dump()) });
+            json body = { { "version", version.number }, { "era", version.era } };
             if (!newKey.empty())
                 body["key"] = newKey;
-            BASILDECK_INFO(component)
-                    << "configuration edit stored as version " << result.version.value();
+            BASILDECK_INFO(component) << "configuration edit stored as version " << version.number
+                                      << " of store era " << version.era;
             m_server->respond(id, jsonResponse(200, body));
             return;
         }
@@ -226,7 +240,7 @@
         const ErrorResponse &refusal = errorResponse(error.kind);
         json body = { { "refusal", refusal.name },
                       { "detail", error.detail },
-                      { "currentVersion", result.currentVersion } };
+                      { "currentVersion", result.currentVersion.number } };
         if (error.kind == ErrorKind::EditConflict)
             body["changedMeanwhile"] = result.changedMeanwhile;
         m_server->respond(id, jsonResponse(refusal.status, body));
--- a/src/admin/AdminTask.h
+++ b/src/admin/AdminTask.h
@@ -24,10 +24,11 @@
     static std::unique_ptr<AdminTask> make(const Settings &settings);
     ~AdminTask();
 
-    // Sets the mailbox for status requests and the statistics that /metrics reports. Must be called
-    // before run().
-    void connect(Mailbox<FrontMessage> &front, const PeerTask::Statistics &peer,
-                 const StoreTask::Statistics &store);
+    // Sets the mailboxes for status requests and for stored edits, and the statistics that /metrics
+    // reports. Must be called before run().
+    void connect(Mailbox<FrontMessage> &front, Mailbox<PeerMessage> &peer,
+                 const PeerTask::Statistics &peerStatistics,
+                 const StoreTask::Statistics &storeStatistics);
     Mailbox<AdminMessage> &mailbox() { return m_mailbox; }
     void run();
     void stop();
@@ -47,6 +48,7 @@
     Settings m_settings;
     Mailbox<AdminMessage> m_mailbox;
     Mailbox<FrontMessage> *m_front = nullptr;
+    Mailbox<PeerMessage> *m_peer = nullptr;
     const PeerTask::Statistics *m_peerStatistics = nullptr;
     const StoreTask::Statistics *m_storeStatistics = nullptr;
     std::unique_ptr<LwsLoop> m_loop;
--- a/src/admin/EditRunner.h
+++ b/src/admin/EditRunner.h
@@ -2,12 +2,16 @@
 
 #include "admin/ConfigEdit.h"
 #include "basildeck/Result.h"
+#include "basildeck/Time.h"
+#include "core/StoreVersion.h"
+#include "store/StoredConfig.h"
 
 #include <nlohmann/json.hpp>
 
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <vector>
 
 namespace basildeck {
 
@@ -16,9 +20,10 @@
 // The outcome of an edit.
 struct EditResult
 {
-    Result<std::uint64_t> version = std::uint64_t{ 0 }; // of the configuration after the edit
+    Result<StoreVersion> version = StoreVersion{}; // of the configuration after the edit
     nlohmann::json changedMeanwhile; // for EditConflict: JSON patch of the other edits
-    std::uint64_t currentVersion = 0;
+    StoreVersion currentVersion;
+    nlohmann::json document; // after the edit
 };
 
 // Applies edits to the configuration in the store: reads the document, applies and validates the
@@ -27,12 +32,19 @@
 // If a write fails or its response is lost, the object is read back. If it contains the edit, the
 // write has taken effect. If its version is unchanged, the conditional write is retried, which
 // cannot take effect twice.
+//
+// After a restore of the store an edit waits until the store holds the configuration in force
+// again, so that it is not based on an older document. An edit whose write the restore may have
+// undone starts anew.
 class EditRunner
 {
 public:
     using Callback = std::function<void(EditResult result)>;
 
     static constexpr int maxAttempts = 4;
+    // Longest time that an edit waits for the configuration in force to be in the store.
+    static constexpr Duration confirmationTimeout = seconds(8);
+    static constexpr Duration confirmationPollInterval = milliseconds(200);
 
     explicit EditRunner(StoreClient &store)
         : m_store(store)
@@ -40,18 +52,32 @@
 
     void run(ConfigEdit edit, Callback callback);
     // Reads the current version and document.
-    void read(std::function<void(Result<std::pair<std::uint64_t, nlohmann::json>>)> callback);
+    void read(std::function<void(Result<StoredConfig>)> callback);
+    // Sets the version of the configuration that is in force at this VM.
+    void setActiveVersion(const StoreVersion &version) { m_activeVersion = version; }
+    // Continues the edits that wait. Call it at each tick.
+    void tick(Time now);
 
 private:
     struct PendingEdit;
 
     void start(const std::shared_ptr<PendingEdit> &pending);
+    void applyTo(const std::shared_ptr<PendingEdit> &pending, StoredConfig current);
+    void waitForConfirmation(const std::shared_ptr<PendingEdit> &pending);
     void write(const std::shared_ptr<PendingEdit> &pending);
     void readBack(const std::shared_ptr<PendingEdit> &pending);
-    static void conflict(PendingEdit &pending, std::uint64_t currentVersion,
-                         const nlohmann::json &current);
+    void restart(const std::shared_ptr<PendingEdit> &pending);
+    static void conflict(PendingEdit &pending, const StoredConfig &current);
+
+    struct WaitingEdit
+    {
+        std::shared_ptr<PendingEdit> edit;
+        Time retryAt;
+    };
 
     StoreClient &m_store;
+    StoreVersion m_activeVersion;
+    std::vector<WaitingEdit> m_waiting;
 };
 
 } // namespace basildeck
--- a/src/cli/EntryProcess.cpp
+++ b/src/cli/EntryProcess.cpp
@@ -54,8 +54,9 @@
         return listenFailure(settings.operatorAddress);
     process->m_front->connect(process->m_peer->mailbox(), process->m_admin->mailbox());
     process->m_store->connect(process->m_peer->mailbox());
-    process->m_admin->connect(process->m_front->mailbox(), process->m_peer->statistics(),
-                              process->m_store->statistics());
+    process->m_peer->connect(process->m_admin->mailbox());
+    process->m_admin->connect(process->m_front->mailbox(), process->m_peer->mailbox(),
+                              process->m_peer->statistics(), process->m_store->statistics());
     return process;
 }
 
--- a/src/core/TaskMessages.h
+++ b/src/core/TaskMessages.h
@@ -3,6 +3,7 @@
 #include "basildeck/Time.h"
 #include "config/FleetConfig.h"
 #include "core/Members.h"
+#include "core/StoreVersion.h"
 #include "decide/ClaimRegistry.h"
 #include "decide/CrashQuarantine.h"
 #include "decide/HolderTable.h"
@@ -26,14 +27,14 @@
 // The parsed configuration that is in effect, with its version. Tasks share it read-only.
 struct ActiveConfig
 {
-    std::uint64_t version = 0;
+    StoreVersion version;
     std::shared_ptr<const FleetConfig> config;
 };
 
 // A configuration as JSON text, the form in which VMs exchange it.
 struct ConfigDocument
 {
-    std::uint64_t version = 0;
+    StoreVersion version;
     std::shared_ptr<const std::string> text;
 };
 
@@ -51,7 +52,7 @@
 struct HolderTableAcknowledged
 {
     std::string vm;
-    std::uint64_t version = 0;
+    StoreVersion version;
 };
 
 // The result of a call that this VM made to the store.
@@ -131,7 +132,7 @@
 struct FrontReport
 {
     std::uint32_t loadPermille = 0;
-    std::uint64_t acknowledgedHolderVersion = 0;
+    StoreVersion acknowledgedHolderVersion;
 };
 
 // Starts a graceful shutdown.
@@ -153,7 +154,8 @@
     std::vector<std::string> liveVms;
     std::vector<std::string> leavingVms;
     std::map<std::string, std::string> regionOfVm;
-    bool holderChangeComplete = false;
+    StoreVersion holderVersion;        // latest table of holders that this VM knows
+    bool holderChangeComplete = false; // whether that table's change is complete
 };
 
 enum class StatusKind { Readiness, Metrics, Status, Explanation };
@@ -177,13 +179,14 @@
     std::string text;
 };
 
-using AdminMessage = std::variant<StatusResponse>;
+using AdminMessage = std::variant<StatusResponse, ConfigDocument>;
 using FrontMessage
         = std::variant<ActiveConfig, MembersChanged, HolderTableChanged, HolderTableAcknowledged,
                        KeyAcceptanceDeadline, ReceivedFrontPayload, StatusRequest, LeaveRequested>;
 using PeerMessage = std::variant<ConfigDocument, HolderTableChanged, StoreContactSucceeded,
                                  StoreContactFailed, OutgoingFrontPayload, OutgoingStorePayload,
                                  FrontReport, LeaveRequested, FrontDrained>;
-using StoreMessage = std::variant<StoreRoles, ReceivedStorePayload, ConfigDocument>;
+using StoreMessage
+        = std::variant<StoreRoles, ReceivedStorePayload, ConfigDocument, HolderTableChanged>;
 
 } // namespace basildeck
--- a/src/decide/FleetLimits.cpp
+++ b/src/decide/FleetLimits.cpp
@@ -53,7 +53,7 @@
     applyFractions(now);
 }
 
-void FleetLimits::acknowledge(const std::string &vm, std::uint64_t version, Time now)
+void FleetLimits::acknowledge(const std::string &vm, const StoreVersion &version, Time now)
 {
     m_holders.acknowledge(vm, version);
     applyFractions(now);
--- a/src/decide/FleetLimits.h
+++ b/src/decide/FleetLimits.h
@@ -23,7 +23,7 @@
     void setConfig(const FleetConfig &config, Time now);
     void setTable(const HolderTable &table, Time now);
     // Records that another VM uses no more than its fraction under a version of the table.
-    void acknowledge(const std::string &vm, std::uint64_t version, Time now);
+    void acknowledge(const std::string &vm, const StoreVersion &version, Time now);
     // Records that this VM uses no more than its fraction under the current version.
     void acknowledgeOwn(Time now);
     // Whether all tokens that this VM holds and has lent are within its fraction.
--- a/src/http/FrontendTask.cpp
+++ b/src/http/FrontendTask.cpp
@@ -144,7 +144,7 @@
     std::visit(Overloaded{
                        [&](ActiveConfig &config) {
                            m_lookupMaxAgeSeconds = config.config->defaults.answerMaxAgeSeconds;
-                           m_lookupResponses.setConfig(config.version, *config.config);
+                           m_lookupResponses.setConfig(config.version.number, *config.config);
                            m_pipeline->setConfig(config, now);
                        },
                        [&](MembersChanged &changed) {
--- a/src/http/RequestPipeline.cpp
+++ b/src/http/RequestPipeline.cpp
@@ -696,7 +696,7 @@
 }
 
 // Sets the number of slots of each target that this VM may use. While the holder table changes,
-// this is the smaller of its old and its new share.
+// this is the smallest of its shares under the lists that apply.
 void RequestPipeline::updateTargets(Time now)
 {
     if (!m_config.config)
@@ -710,9 +710,9 @@
         }
         return owners;
     };
-    const auto before = ownersOf(table.before);
-    const auto after = ownersOf(table.after);
-    const bool complete = m_limits.holders().complete();
+    std::vector<std::vector<SlotOwner>> ownerLists;
+    for (const std::vector<std::string> &list : m_limits.holders().applicableLists())
+        ownerLists.push_back(ownersOf(list));
     for (const Service &service : m_config.config->services) {
         std::vector<TargetSpec> specs;
         for (const Target &target : service.targets) {
@@ -720,9 +720,10 @@
                 return ownedSlots(m_settings.vmName, target.name, target.region,
                                   service.slotsPerTarget, owners);
             };
-            TargetSpec spec{ target.name, target.region, target.zone, owned(after), false };
-            if (!complete)
-                spec.slots = std::min(spec.slots, owned(before));
+            TargetSpec spec{ target.name, target.region, target.zone, owned(ownerLists.front()),
+                             false };
+            for (const auto &owners : ownerLists)
+                spec.slots = std::min(spec.slots, owned(owners));
             spec.closed = target.leaving || isDrained(*m_config.config, target.region);
             specs.push_back(std::move(spec));
         }
@@ -734,7 +735,7 @@
 // Acknowledges the holder table to the other VMs as soon as this VM complies with it.
 void RequestPipeline::acknowledgeHolders(Time now)
 {
-    const std::uint64_t version = m_limits.holders().table().version;
+    const StoreVersion version = m_limits.holders().table().version;
     if (version == m_acknowledgedTableVersion)
         return;
     bool fitsLimits = m_limits.isWithinFraction(now);
@@ -921,7 +922,7 @@
 bool RequestPipeline::ready(Time now) const
 {
     return m_config.config && !m_validator.refusesAllRequests()
-           && m_limits.holders().table().version != 0
+           && m_limits.holders().table().version.exists()
            && now - m_processStartTime > TokenBucketShare::startupDelay;
 }
 
@@ -948,11 +949,13 @@
     }
     const auto serveLeft
             = std::chrono::duration_cast<milliseconds>(m_validator.serveUntil() - now).count();
-    return { { "configVersion", m_config.version },
+    return { { "configVersion", m_config.version.number },
+             { "configEra", m_config.version.era },
              { "ready", ready(now) },
              { "holderTable",
-               { { "version", m_limits.holders().table().version },
-                 { "acknowledged", m_acknowledgedTableVersion },
+               { { "version", m_limits.holders().table().version.number },
+                 { "era", m_limits.holders().table().version.era },
+                 { "acknowledged", m_acknowledgedTableVersion.number },
                  { "complete", m_limits.holders().complete() },
                  { "holders", m_limits.holders().holders() } } },
              { "keysServedForMs", std::max<long>(0, serveLeft) },
--- a/src/http/RequestPipeline.h
+++ b/src/http/RequestPipeline.h
@@ -66,7 +66,7 @@
 
     std::size_t openRequests() const { return m_exchanges.size(); }
     bool ready(Time now) const;
-    std::uint64_t configVersion() const { return m_config.version; }
+    const StoreVersion &configVersion() const { return m_config.version; }
     // Returns the state of this VM for the status page.
     nlohmann::json status(Time now);
     // Returns how a request would be routed, for the explain request.
@@ -127,7 +127,7 @@
     RequestValidator m_validator;
     FleetLimits m_limits;
     ClaimClient m_claimClient;
-    std::uint64_t m_acknowledgedTableVersion = 0;
+    StoreVersion m_acknowledgedTableVersion;
     Time m_lastReportTime;
 
     std::map<std::string, ServiceState> m_services;
--- a/src/peer/ConfigHistory.cpp
+++ b/src/peer/ConfigHistory.cpp
@@ -4,7 +4,7 @@
 
 namespace basildeck {
 
-bool ConfigHistory::add(std::uint64_t version, std::shared_ptr<const std::string> text)
+bool ConfigHistory::add(const StoreVersion &version, std::shared_ptr<const std::string> text)
 {
     if (version <= this->version())
         return false;
@@ -14,9 +14,9 @@
     return true;
 }
 
-std::uint64_t ConfigHistory::version() const
+StoreVersion ConfigHistory::version() const
 {
-    return m_entries.empty() ? 0 : m_entries.back().version;
+    return m_entries.empty() ? StoreVersion{} : m_entries.back().version;
 }
 
 std::shared_ptr<const std::string> ConfigHistory::text() const
@@ -24,7 +24,7 @@
     return m_entries.empty() ? nullptr : m_entries.back().text;
 }
 
-std::optional<std::string> ConfigHistory::patchFrom(std::uint64_t version) const
+std::optional<std::string> ConfigHistory::patchFrom(const StoreVersion &version) const
 {
     for (const Entry &entry : m_entries) {
         if (entry.version != version)
--- a/src/peer/ConfigHistory.h
+++ b/src/peer/ConfigHistory.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include <cstdint>
+#include "core/StoreVersion.h"
+
 #include <deque>
 #include <memory>
 #include <optional>
@@ -17,16 +18,16 @@
 
     // Appends a document and evicts the oldest one beyond maxEntries. Returns false, without
     // effect, if the version is not newer than the latest one.
-    bool add(std::uint64_t version, std::shared_ptr<const std::string> text);
+    bool add(const StoreVersion &version, std::shared_ptr<const std::string> text);
 
-    // The latest version; 0 if there is no document.
-    std::uint64_t version() const;
+    // The latest version; none if there is no document.
+    StoreVersion version() const;
     // The latest document; null if there is none.
     std::shared_ptr<const std::string> text() const;
 
     // Returns the JSON patch (RFC 6902) from a version to the latest one, if the history still
     // holds that version and the patch is smaller than the latest document.
-    std::optional<std::string> patchFrom(std::uint64_t version) const;
+    std::optional<std::string> patchFrom(const StoreVersion &version) const;
 
     // Returns the latest document with a JSON patch applied, or nothing if the patch does not
     // apply.
@@ -35,7 +36,7 @@
 private:
     struct Entry
     {
-        std::uint64_t version;
+        StoreVersion version;
         std::shared_ptr<const std::string> text;
     };
     std::deque<Entry> m_entries; // oldest first
--- a/src/peer/Packet.cpp
+++ b/src/peer/Packet.cpp
@@ -23,6 +23,12 @@
             member.callerAddress, member.peerAddress, member.loadPermille);
 }
 
+template <typename Archive>
+void serialize(Archive &archive, StoreVersion &version)
+{
+    archive(version.era, version.number);
+}
+
 template <typename Archive>
 void serialize(Archive &archive, PacketHeader &header)
 {
@@ -142,7 +148,7 @@
 template <typename Archive>
 void serialize(Archive &archive, HolderTable &table)
 {
-    archive(table.version, table.before, table.after, table.gone, table.regions);
+    archive(table.version, table.before, table.after, table.gone, table.confirming, table.regions);
 }
 
 template <typename Archive>
--- a/src/peer/Packet.h
+++ b/src/peer/Packet.h
@@ -17,9 +17,9 @@
 {
     std::string sender;
     std::uint64_t incarnation = 0;
-    std::uint64_t configVersion = 0;
-    std::uint64_t holderVersion = 0;             // latest table that the sender knows
-    std::uint64_t acknowledgedHolderVersion = 0; // latest table whose parts it does not exceed
+    StoreVersion configVersion;
+    StoreVersion holderVersion;             // latest table that the sender knows
+    StoreVersion acknowledgedHolderVersion; // latest table whose parts it does not exceed
     std::uint32_t loadPermille = 0;
     std::int64_t storeReachedAgeMs = -1; // age of the last contact by any VM; -1: none
     std::int64_t storeDownAgeMs = -1;    // age of the last failed contact from the store's region
@@ -45,7 +45,7 @@
 // Requests newer state from a VM, over TCP.
 struct SyncRequest
 {
-    std::uint64_t configVersion = 0; // version that the requester holds
+    StoreVersion configVersion; // version that the requester holds
     bool includeMembers = false;
 };
 
@@ -54,9 +54,9 @@
 // whole document.
 struct SyncResponse
 {
-    std::uint64_t configVersion = 0;
+    StoreVersion configVersion;
     bool isPatch = false;
-    std::uint64_t baseVersion = 0; // version to which the patch applies
+    StoreVersion baseVersion; // version to which the patch applies
     std::string config;
     HolderTable holders;
     std::vector<Member> members;
--- a/src/peer/PeerTask.cpp
+++ b/src/peer/PeerTask.cpp
@@ -136,7 +136,8 @@
 void PeerTask::contactSeeds(Time now)
 {
     const bool noPeerKnown = m_membership.members().size() < 2;
-    if ((!noPeerKnown && m_config.version() != 0) || now - m_lastSeedContact < seedContactInterval)
+    if ((!noPeerKnown && m_config.version().exists())
+        || now - m_lastSeedContact < seedContactInterval)
         return;
     m_lastSeedContact = now;
     for (const Address &seed : m_settings.seedPeers) {
@@ -183,6 +184,7 @@
     }
     for (const Member &member : members)
         roles.regionOfVm[member.vm] = member.region;
+    roles.holderVersion = m_holderTable.version;
     roles.holderChangeComplete = m_holderView.complete();
     m_store.post(std::move(roles));
 }
@@ -234,23 +236,26 @@
                message);
 }
 
-void PeerTask::applyConfig(std::uint64_t version, std::shared_ptr<const std::string> text)
+void PeerTask::applyConfig(const StoreVersion &version, std::shared_ptr<const std::string> text)
 {
     if (version <= m_config.version())
         return;
     auto parsed = FleetConfig::parse(*text, unixSeconds());
     if (!parsed) {
-        BASILDECK_ERROR(component)
-                << "configuration version " << version << " rejected: " << parsed.error().detail;
+        BASILDECK_ERROR(component) << "configuration version " << version.number << " of store era "
+                                   << version.era << " rejected: " << parsed.error().detail;
         return;
     }
     m_config.add(version, text);
-    m_statistics.configVersion = version;
+    m_statistics.configEra = version.era;
+    m_statistics.configVersion = version.number;
     m_nextExceptionExpiry = parsed.value().nextExceptionExpiry(unixSeconds());
     m_front.post(ActiveConfig{ version,
                                std::make_shared<const FleetConfig>(std::move(parsed.value())) });
+    m_admin->post(ConfigDocument{ version, text });
     m_store.post(ConfigDocument{ version, std::move(text) });
-    BASILDECK_INFO(component) << "configuration version " << version << " applied";
+    BASILDECK_INFO(component) << "configuration version " << version.number << " of store era "
+                              << version.era << " applied";
     announceUpdate();
 }
 
@@ -276,6 +281,7 @@
     m_holderTable = table;
     m_holderView.setTable(table);
     m_front.post(HolderTableChanged{ table });
+    m_store.post(HolderTableChanged{ table });
     announceUpdate();
 }
 
@@ -347,7 +353,7 @@
         m_evidence.mergePeerAges(
                 { fromWireAge(header.storeReachedAgeMs), fromWireAge(header.storeDownAgeMs) }, now);
     m_holderView.acknowledge(header.sender, header.acknowledgedHolderVersion);
-    std::uint64_t &acknowledged = m_acknowledgedVersions[header.sender];
+    StoreVersion &acknowledged = m_acknowledgedVersions[header.sender];
     if (header.acknowledgedHolderVersion > acknowledged) {
         acknowledged = header.acknowledgedHolderVersion;
         m_front.post(HolderTableAcknowledged{ header.sender, acknowledged });
--- a/src/peer/PeerTask.h
+++ b/src/peer/PeerTask.h
@@ -31,6 +31,7 @@
         std::atomic<std::uint64_t> bytesReceived{ 0 };
         std::atomic<std::uint64_t> packetsSent{ 0 };
         std::atomic<std::uint64_t> packetsRefused{ 0 };
+        std::atomic<std::uint64_t> configEra{ 0 };
         std::atomic<std::uint64_t> configVersion{ 0 };
         std::atomic<std::uint64_t> configSyncs{ 0 };
     };
@@ -40,6 +41,9 @@
                                           Mailbox<StoreMessage> &store);
     ~PeerTask();
 
+    // Sets the mailbox that receives the configuration in force. Call it before run().
+    void connect(Mailbox<AdminMessage> &admin) { m_admin = &admin; }
+
     Mailbox<PeerMessage> &mailbox() { return m_mailbox; }
     const Statistics &statistics() const { return m_statistics; }
     // Processes events until stop() is called, which any thread may do.
@@ -60,7 +64,7 @@
     void send(const std::string &vm, PacketBody body);
     void sendTo(const Address &address, const std::string &vm, PacketBody body);
     PacketHeader header(Time now) const;
-    void applyConfig(std::uint64_t version, std::shared_ptr<const std::string> text);
+    void applyConfig(const StoreVersion &version, std::shared_ptr<const std::string> text);
     void applyHolderTable(const HolderTable &table);
     void expireExceptions();
     void startSync(const Address &from, bool includeMembers);
@@ -72,6 +76,7 @@
     Settings m_settings;
     Mailbox<FrontMessage> &m_front;
     Mailbox<StoreMessage> &m_store;
+    Mailbox<AdminMessage> *m_admin = nullptr;
     Mailbox<PeerMessage> m_mailbox;
     std::unique_ptr<PeerSockets> m_sockets;
     std::atomic<bool> m_stopped{ false };
@@ -82,7 +87,7 @@
     ConfigHistory m_config;
     HolderTable m_holderTable;
     HolderView m_holderView;
-    std::uint64_t m_acknowledgedHolderVersion = 0;
+    StoreVersion m_acknowledgedHolderVersion;
     // A ping that this VM has sent on behalf of another one.
     struct ForwardedPing
     {
@@ -100,7 +105,7 @@
     Time m_started;
     std::optional<std::int64_t> m_nextExceptionExpiry; // Unix time
     CrashQuarantine m_crashes;
-    std::map<std::string, std::uint64_t> m_acknowledgedVersions; // by VM
+    std::map<std::string, StoreVersion> m_acknowledgedVersions; // by VM
 };
 
 } // namespace basildeck
--- a/src/store/StoreClient.cpp
+++ b/src/store/StoreClient.cpp
@@ -12,11 +12,16 @@
 
 constexpr milliseconds callTimeout{ 1000 };
 
-StoredValue parseObject(const json &object)
+StoredValue parseObject(const json &object, std::uint64_t era)
 {
     const bool deleted = object.value("deleted", false);
     return { object.value("name", ""), deleted ? 0 : object.value("version", std::uint64_t{ 0 }),
-             deleted || !object.contains("value") ? "" : object["value"].dump() };
+             deleted || !object.contains("value") ? "" : object["value"].dump(), era };
+}
+
+std::uint64_t parseEra(std::string_view value)
+{
+    return std::strtoull(std::string(value).c_str(), nullptr, 10);
 }
 
 Error unexpectedStatus(int status)
@@ -40,7 +45,10 @@
 {
     std::unique_ptr<StoreClient> client(new StoreClient(std::move(addresses)));
     client->m_client = HttpClient::make(loop);
-    return client->m_client ? std::move(client) : nullptr;
+    if (!client->m_client)
+        return nullptr;
+    client->m_client->setResponseHeaderNames({ eraHeader });
+    return client;
 }
 
 StoreClient::StoreClient(std::vector<Address> addresses)
@@ -62,7 +70,13 @@
             address, std::move(request), timeout,
             [this, callback = std::move(callback)](Result<HttpResponse> result) {
                 if (result) {
-                    callback(Response{ result.value().status, std::move(result.value().body) });
+                    HttpResponse &response = result.value();
+                    const std::uint64_t era = parseEra(response.header(eraHeader));
+                    if (era < m_era)
+                        return callback(failure(ErrorKind::StoreAnswerLost,
+                                                "the response is from before the store's restore"));
+                    m_era = era;
+                    callback(Response{ response.status, std::move(response.body), era });
                     return;
                 }
                 ++m_currentAddress;
@@ -79,12 +93,12 @@
              if (!response)
                  return callback(failure(ErrorKind::StoreUnavailable, response.error().detail));
              if (response.value().status == 404)
-                 return callback(StoredValue{ name, 0, "" });
+                 return callback(StoredValue{ name, 0, "", response.value().era });
              const json body = json::parse(response.value().body, nullptr, false);
              if (response.value().status != 200 || !body.is_object())
                  return callback(
                          boost::outcome_v2::failure(unexpectedStatus(response.value().status)));
-             callback(parseObject(body));
+             callback(parseObject(body, response.value().era));
          });
 }
 
@@ -107,7 +121,8 @@
                  return callback(failure(ErrorKind::InvalidObject, "the store rejected the value"));
              if (status != 200 || !body.is_object())
                  return callback(boost::outcome_v2::failure(unexpectedStatus(status)));
-             callback(body.value("version", std::uint64_t{ 0 }));
+             callback(StoreVersion{ response.value().era,
+                                    body.value("version", std::uint64_t{ 0 }) });
          });
 }
 
@@ -120,14 +135,17 @@
          [callback = std::move(callback)](Result<Response> response) {
              if (!response)
                  return callback(failure(ErrorKind::StoreUnavailable, response.error().detail));
+             StoreChanges changes;
+             changes.era = response.value().era;
+             if (response.value().status == 410)
+                 return callback(std::move(changes));
              const json body = json::parse(response.value().body, nullptr, false);
              if (response.value().status != 200 || !body.is_object() || !body.contains("items"))
                  return callback(
                          boost::outcome_v2::failure(unexpectedStatus(response.value().status)));
-             StoreChanges changes;
              changes.version = body.value("version", std::uint64_t{ 0 });
              for (const json &item : body["items"])
-                 changes.objects.push_back(parseObject(item));
+                 changes.objects.push_back(parseObject(item, changes.era));
              callback(std::move(changes));
          });
 }
--- a/src/store/StoreClient.h
+++ b/src/store/StoreClient.h
@@ -3,6 +3,7 @@
 #include "basildeck/Result.h"
 #include "basildeck/Time.h"
 #include "config/Address.h"
+#include "core/StoreVersion.h"
 
 #include <cstdint>
 #include <functional>
@@ -21,13 +22,15 @@
 {
     std::string name;
     std::uint64_t version = 0;
-    std::string value; // JSON text
+    std::string value;     // JSON text
+    std::uint64_t era = 0; // of the store when it responded
 };
 
 // The objects of a kind that changed, and the version of the store up to which the list is
-// complete.
+// complete. The version is 0 if the store does not have the version that the watch started from.
 struct StoreChanges
 {
+    std::uint64_t era = 0; // of the store when it responded
     std::uint64_t version = 0;
     std::vector<StoredValue> objects;
 };
@@ -39,22 +42,27 @@
     std::string state; // "live", "leaving" or "gone"
 };
 
-// Client of the platform's object API. Each call invokes its callback once, on the loop's thread.
+// Client of the platform's object API. The store's era, the value of the response header eraHeader,
+// rises each time that the store comes back from a copy. Each call invokes its callback once, on
+// the loop's thread.
 //
 // Errors:
 //   StoreUnavailable  the call had no effect
-//   StoreAnswerLost   the response was lost; a write may have taken effect
+//   StoreAnswerLost   the response was lost, or is from before a restore of the store that this
+//                     client has seen; a write may have taken effect
 //   EditConflict      the object's version was not the expected one
 //   InvalidObject     the store rejected the value
 class StoreClient
 {
 public:
+    static constexpr const char *eraHeader = "basildeck-store-era";
+
     static std::unique_ptr<StoreClient> make(LwsLoop &loop, std::vector<Address> addresses);
     ~StoreClient();
 
     using OnValue = std::function<void(Result<StoredValue>)>;
     using OnChanges = std::function<void(Result<StoreChanges>)>;
-    using OnVersion = std::function<void(Result<std::uint64_t>)>;
+    using OnVersion = std::function<void(Result<StoreVersion>)>;
     using OnVms = std::function<void(Result<std::vector<ListedVm>>)>;
 
     void read(const std::string &kind, const std::string &name, OnValue callback);
@@ -68,12 +76,15 @@
     void expire(Time now);
 
     std::uint64_t calls() const { return m_calls; }
+    // The highest era in any response so far; 0 before the first one.
+    std::uint64_t era() const { return m_era; }
 
 private:
     struct Response
     {
         int status;
         std::string body;
+        std::uint64_t era;
     };
     using OnResponse = std::function<void(Result<Response>)>;
 
@@ -84,6 +95,7 @@
     std::size_t m_currentAddress = 0; // modulo m_addresses.size(); advanced by a failed call
     std::unique_ptr<HttpClient> m_client;
     std::uint64_t m_calls = 0;
+    std::uint64_t m_era = 0;
 };
 
 } // namespace basildeck
--- a/src/store/StoreTask.cpp
+++ b/src/store/StoreTask.cpp
@@ -26,6 +26,10 @@
 constexpr Duration watchRetryDelay = milliseconds(300);
 constexpr Duration vmListInterval = milliseconds(1000);
 
+// Time from a restore of the store until a watcher writes the configuration again, so that the
+// watcher knows the newest one that any VM it reaches has received.
+constexpr Duration confirmationDelay = milliseconds(1000);
+
 std::int64_t unixSeconds()
 {
     return std::chrono::system_clock::to_time_t(std::chrono::system_clock::now());
@@ -33,11 +37,13 @@
 
 } // namespace
 
-std::string encodeHolderTable(const HolderTable &table)
+std::string encodeHolderTable(const HolderTable &table, std::uint64_t era)
 {
-    return json({ { "before", table.before },
+    return json({ { "era", era },
+                  { "before", table.before },
                   { "after", table.after },
                   { "gone", table.gone },
+                  { "confirming", table.confirming },
                   { "regions", table.regions } })
             .dump();
 }
@@ -52,13 +58,14 @@
         table.before = document.at("before").get<std::vector<std::string>>();
         table.after = document.at("after").get<std::vector<std::string>>();
         table.gone = document.at("gone").get<std::vector<std::string>>();
+        table.confirming = document.value("confirming", std::vector<std::string>{});
         table.regions = document.at("regions").get<std::map<std::string, std::string>>();
+        table.version = { document.value("era", std::uint64_t{ 0 }), version };
     } catch (const json::exception &error) {
         BASILDECK_ERROR(component)
                 << "table of holders, version " << version << " rejected: " << error.what();
         return {};
     }
-    table.version = version;
     return table;
 }
 
@@ -111,7 +118,9 @@
 {
     const Time now = Clock::now();
     m_client->expire(now);
+    checkEra(now);
     watch(now);
+    confirmConfig(now);
     checkHolderTable(now);
     commitClaims(now);
     m_statistics.calls = m_client->calls();
@@ -135,8 +144,10 @@
                                       },
                                       from.payload);
                        },
-                       [&](ConfigDocument &document) {
-                           m_configVersion = std::max(m_configVersion, document.version);
+                       [&](ConfigDocument &document) { m_activeConfig = std::move(document); },
+                       [&](HolderTableChanged &changed) {
+                           if (changed.table.version > m_holderTable.version)
+                               m_holderTable = std::move(changed.table);
                        },
                },
                message);
@@ -161,11 +172,13 @@
         return;
     m_watchPending = true;
     const milliseconds wait = m_initialReadDone ? watchWait : milliseconds(0);
-    m_client->watch(fleetKind, m_watchedVersion, wait,
-                    [this](Result<StoreChanges> changes) { onChanges(std::move(changes)); });
+    const std::uint64_t from = m_watchedVersion;
+    m_client->watch(fleetKind, from, wait, [this, from](Result<StoreChanges> changes) {
+        onChanges(from, std::move(changes));
+    });
 }
 
-void StoreTask::onChanges(Result<StoreChanges> changes)
+void StoreTask::onChanges(std::uint64_t from, Result<StoreChanges> changes)
 {
     m_watchPending = false;
     if (!changes) {
@@ -173,26 +186,141 @@
         reportStoreContact(false);
         return;
     }
+    reportStoreContact(true);
+    const bool eraRose = changes.value().era != m_era;
+    checkEra(Clock::now());
+    const bool hasVersion = changes.value().version >= from;
+    if (from != 0 && (eraRose || !hasVersion)) {
+        readAnew();
+        return;
+    }
     m_initialReadDone = true;
+    if (from == 0) {
+        m_storedConfig.emplace().era = m_era;
+        m_storedHolderVersion = 0;
+    }
     for (const StoredValue &object : changes.value().objects)
         onObject(object);
-    // Set even if the version went backwards: after the store was restored to an older state, later
-    // changes would otherwise be missed.
     m_watchedVersion = changes.value().version;
-    reportStoreContact(true);
+}
+
+// Notices a restore of the store. Any response may show it first.
+void StoreTask::checkEra(Time now)
+{
+    if (m_client->era() == m_era)
+        return;
+    if (m_era != 0)
+        BASILDECK_WARNING(component) << "the store came back from a copy: era " << m_client->era();
+    m_era = m_client->era();
+    m_eraSeen = now;
+    readAnew();
+}
+
+// Makes the next watch call return all objects.
+void StoreTask::readAnew()
+{
+    m_initialReadDone = false;
+    m_watchedVersion = 0;
+    m_storedConfig.reset();
+    m_storedHolderVersion.reset();
 }
 
 void StoreTask::onObject(const StoredValue &object)
 {
-    if (object.name == configName && object.version > m_configVersion) {
-        m_configVersion = object.version;
-        m_peer->post(ConfigDocument{ object.version,
-                                     std::make_shared<const std::string>(object.value) });
-    }
-    if (object.name == holderTableName && object.version > m_holderTable.version) {
-        m_holderTable = decodeHolderTable(object.value, object.version);
-        m_peer->post(HolderTableChanged{ m_holderTable });
+    if (object.name == configName)
+        onConfig(object);
+    if (object.name == holderTableName)
+        onHolderTable(object);
+}
+
+void StoreTask::onConfig(const StoredValue &object)
+{
+    if (!m_storedConfig || object.version <= m_storedConfig->version.number)
+        return;
+    m_storedConfig = decodeConfig(object);
+    if (m_storedConfig->isConfirmed())
+        reportStoredConfig();
+}
+
+void StoreTask::reportStoredConfig()
+{
+    const StoreVersion &version = m_storedConfig->version;
+    if (version <= std::max(m_reportedConfig, m_activeConfig.version))
+        return;
+    m_reportedConfig = version;
+    m_peer->post(ConfigDocument{
+            version, std::make_shared<const std::string>(m_storedConfig->document.dump()) });
+}
+
+// A table from an earlier era is not passed on: the tables that followed it may be lost.
+void StoreTask::onHolderTable(const StoredValue &object)
+{
+    if (!m_storedHolderVersion || object.version <= *m_storedHolderVersion)
+        return;
+    m_storedHolderVersion = object.version;
+    const HolderTable table = decodeHolderTable(object.value, object.version);
+    if (table.version <= m_holderTable.version)
+        return;
+    m_holderTable = table;
+    if (table.version.era == m_era)
+        m_peer->post(HolderTableChanged{ table });
+}
+
+// Returns the configuration that this VM, as a watcher, should write to the store, if any.
+std::optional<json> StoreTask::configToWrite() const
+{
+    if (!m_activeConfig.text)
+        return std::nullopt;
+    const StoreVersion &stored = m_storedConfig->version;
+    const StoreVersion &active = m_activeConfig.version;
+    // Written by hand over one that states its era.
+    if (stored.era == 0 && active.era != 0 && stored.number > active.number)
+        return m_storedConfig->document;
+    const bool isOlder = stored < active;
+    const bool isUnconfirmed = stored == active && active.era != 0;
+    if (active.era < m_era && (isOlder || isUnconfirmed))
+        return json::parse(*m_activeConfig.text, nullptr, false);
+    return std::nullopt;
+}
+
+// Writes the configuration in force again after a restore of the store. Several watchers may try;
+// the condition on the version lets one succeed. An unconfirmed document of the copy is followed
+// only if no other VM has delivered a newer one by then.
+void StoreTask::confirmConfig(Time now)
+{
+    if (!m_storedConfig || m_configWritePending || now - m_eraSeen < confirmationDelay)
+        return;
+    reportStoredConfig();
+    if (!m_roles.isStoreWatcher)
+        return;
+    auto document = configToWrite();
+    if (!document)
+        return;
+    m_configWritePending = true;
+    StoredConfig written{ { m_era, 0 }, m_era, std::move(*document) };
+    const std::string value = encodeConfig(written.document, m_era);
+    m_client->write(fleetKind, configName, m_storedConfig->version.number, value,
+                    [this, written = std::move(written)](const Result<StoreVersion> &result) {
+                        onConfigWritten(result, written);
+                    });
+}
+
+void StoreTask::onConfigWritten(const Result<StoreVersion> &result, const StoredConfig &written)
+{
+    m_configWritePending = false;
+    if (!result || result.value().era != written.era) {
+        m_nextWatch = Clock::now() + watchRetryDelay;
+        readAnew();
+        return;
     }
+    const StoreVersion &version = result.value();
+    BASILDECK_INFO(component) << "wrote the configuration again as version " << version.number
+                              << " of store era " << version.era;
+    m_storedConfig = written;
+    m_storedConfig->version = version;
+    m_reportedConfig = version;
+    m_peer->post(ConfigDocument{ version,
+                                 std::make_shared<const std::string>(written.document.dump()) });
 }
 
 void StoreTask::checkHolderTable(Time now)
@@ -211,11 +339,11 @@
         reportStoreContact(false);
         return;
     }
+    m_listedVms.clear();
     m_goneVms.clear();
     m_listedLeavingVms.clear();
     for (const ListedVm &vm : vms.value()) {
-        if (vm.state == "gone")
-            m_goneVms.insert(vm.name);
+        (vm.state == "gone" ? m_goneVms : m_listedVms).insert(vm.name);
         if (vm.state == "leaving")
             m_listedLeavingVms.insert(vm.name);
     }
@@ -224,35 +352,54 @@
     candidates.live.insert(m_roles.liveVms.begin(), m_roles.liveVms.end());
     candidates.leaving = m_listedLeavingVms;
     candidates.leaving.insert(m_roles.leavingVms.begin(), m_roles.leavingVms.end());
+    candidates.listed = m_listedVms;
     candidates.gone = m_goneVms;
     candidates.regions = m_roles.regionOfVm;
-    if (auto table = proposeHolders(m_holderTable, m_roles.holderChangeComplete, candidates))
+    proposeHolderTable(candidates);
+}
+
+void StoreTask::proposeHolderTable(const HolderCandidates &candidates)
+{
+    checkEra(Clock::now());
+    if (!m_storedHolderVersion)
+        return; // not read yet in this era
+    const bool isViewCurrent = m_roles.holderVersion == m_holderTable.version;
+    const bool complete = isViewCurrent && m_roles.holderChangeComplete;
+    if (m_holderTable.version.exists() && m_holderTable.version.era < m_era) {
+        writeHolderTable(confirmHolders(m_holderTable, complete, candidates));
+        return;
+    }
+    if (!isViewCurrent)
+        return;
+    if (auto table = proposeHolders(m_holderTable, complete, candidates))
         writeHolderTable(*table);
 }
 
-void StoreTask::writeHolderTable(const HolderTable &table)
+void StoreTask::writeHolderTable(HolderTable table)
 {
     m_holderWritePending = true;
-    m_client->write(fleetKind, holderTableName, m_holderTable.version, encodeHolderTable(table),
-                    [this, table](const Result<std::uint64_t> &result) {
+    table.version.era = m_era;
+    m_client->write(fleetKind, holderTableName, *m_storedHolderVersion,
+                    encodeHolderTable(table, m_era),
+                    [this, table](const Result<StoreVersion> &result) {
                         onHolderTableWritten(result, table);
                     });
 }
 
-// After a conflict or a lost response, reads the object again; the next check then decides anew.
-void StoreTask::onHolderTableWritten(const Result<std::uint64_t> &result, HolderTable table)
+// After a conflict or a lost response, reads anew; the next check then decides again.
+void StoreTask::onHolderTableWritten(const Result<StoreVersion> &result, HolderTable table)
 {
     m_holderWritePending = false;
-    if (result) {
-        table.version = result.value();
-        m_holderTable = table;
-        m_peer->post(HolderTableChanged{ m_holderTable });
+    if (!result || result.value().era != table.version.era) {
+        readAnew();
         return;
     }
-    m_client->read(fleetKind, holderTableName, [this](Result<StoredValue> value) {
-        if (value)
-            onObject(value.value());
-    });
+    table.version = result.value();
+    m_storedHolderVersion = table.version.number;
+    if (table.version <= m_holderTable.version)
+        return;
+    m_holderTable = table;
+    m_peer->post(HolderTableChanged{ std::move(table) });
 }
 
 void StoreTask::commitClaims(Time now)
@@ -273,10 +420,10 @@
         }
         ++m_statistics.claimWrites;
         m_client->write(claimsKind, name, call.expectedVersion, call.value,
-                        [this, bucket](Result<std::uint64_t> version) {
+                        [this, bucket](Result<StoreVersion> version) {
                             const Time completed = Clock::now();
                             if (version) {
-                                m_claims.writeDone(bucket, version.value(), completed);
+                                m_claims.writeDone(bucket, version.value().number, completed);
                             } else if (version.error().kind == ErrorKind::EditConflict) {
                                 ++m_statistics.claimConflicts;
                                 m_claims.writeConflicted(bucket, completed);
--- a/src/store/StoreTask.h
+++ b/src/store/StoreTask.h
@@ -6,6 +6,7 @@
 #include "core/TaskMessages.h"
 #include "decide/ClaimRegistry.h"
 #include "decide/HolderTable.h"
+#include "store/StoredConfig.h"
 
 #include <atomic>
 #include <memory>
@@ -22,6 +23,10 @@
 // The task that communicates with the platform's store. It watches the configuration if this VM is
 // its zone's watcher, proposes the table of holders if this VM is the proposer, and commits the
 // claims in the buckets that this VM owns.
+//
+// When the store's era rises, it came back from a copy, and the task reads everything anew. The
+// configuration in force stays in force, and a watcher writes it again. The proposer writes a table
+// of holders that every VM has to confirm.
 class StoreTask
 {
 public:
@@ -51,12 +56,21 @@
     void onTick();
     void handleMessage(StoreMessage message, Time now);
     void watch(Time now);
-    void onChanges(Result<StoreChanges> changes);
+    void onChanges(std::uint64_t from, Result<StoreChanges> changes);
     void onObject(const StoredValue &object);
+    void onConfig(const StoredValue &object);
+    void reportStoredConfig();
+    void onHolderTable(const StoredValue &object);
+    void checkEra(Time now);
+    void readAnew();
+    void confirmConfig(Time now);
+    std::optional<nlohmann::json> configToWrite() const;
+    void onConfigWritten(const Result<StoreVersion> &result, const StoredConfig &written);
     void checkHolderTable(Time now);
     void onVmList(Result<std::vector<ListedVm>> vms);
-    void writeHolderTable(const HolderTable &table);
-    void onHolderTableWritten(const Result<std::uint64_t> &result, HolderTable table);
+    void proposeHolderTable(const HolderCandidates &candidates);
+    void writeHolderTable(HolderTable table);
+    void onHolderTableWritten(const Result<StoreVersion> &result, HolderTable table);
     void commitClaims(Time now);
     void reportStoreContact(bool reached);
 
@@ -68,23 +82,32 @@
     Statistics m_statistics;
     StoreRoles m_roles;
     ClaimRegistry m_claims;
+    std::uint64_t m_era = 0; // of the store
+    Time m_eraSeen;
     std::uint64_t m_watchedVersion = 0;
-    std::uint64_t m_configVersion = 0;
-    HolderTable m_holderTable;
+    ConfigDocument m_activeConfig; // in force at this VM
+    StoreVersion m_reportedConfig; // latest one passed to the peer task
+    HolderTable m_holderTable;     // the newest one known
+    // What the store holds; nothing until it was read in the current era.
+    std::optional<StoredConfig> m_storedConfig;
+    std::optional<std::uint64_t> m_storedHolderVersion;
+    bool m_configWritePending = false;
     bool m_watchPending = false;
     bool m_initialReadDone = false;
     bool m_vmListPending = false;
     bool m_holderWritePending = false;
     // From the platform's list of VMs.
+    std::set<std::string> m_listedVms;
     std::set<std::string> m_goneVms;
     std::set<std::string> m_listedLeavingVms;
     Time m_nextWatch;
     Time m_nextVmList;
 };
 
-// Convert the table of holders to and from the JSON form in which the store keeps it. Decoding
-// returns an empty table, version 0, if the value is invalid.
-std::string encodeHolderTable(const HolderTable &table);
+// Convert the table of holders to and from the JSON form in which the store keeps it, with the era
+// in which it is written. Decoding returns an empty table without a version if the value is
+// invalid.
+std::string encodeHolderTable(const HolderTable &table, std::uint64_t era);
 HolderTable decodeHolderTable(const std::string &value, std::uint64_t version);
 
 } // namespace basildeck
--- a/tests/DecisionTest.cpp
+++ b/tests/DecisionTest.cpp
@@ -210,18 +210,21 @@
     ConfigHistory history;
     const auto text = [](const char *value) { return std::make_shared<const std::string>(value); };
     std::string large = R"({"a":1,"filler":")" + std::string(500, 'x') + "\"}";
-    CHECK(history.add(3, text(large.c_str())));
-    CHECK(!history.add(2, text("{}")));
-    CHECK(!history.add(3, text("{}")));
+    CHECK(history.add({ 1, 3 }, text(large.c_str())));
+    CHECK(!history.add({ 1, 2 }, text("{}")));
+    CHECK(!history.add({ 1, 3 }, text("{}")));
     ConfigHistory behind = history;
     large.replace(5, 1, "2");
-    CHECK(history.add(9, text(large.c_str())));
-    const auto patch = history.patchFrom(3);
+    CHECK(history.add({ 1, 9 }, text(large.c_str())));
+    const auto patch = history.patchFrom({ 1, 3 });
     REQUIRE(patch);
     CHECK(patch->size() < 100);
     CHECK(*behind.applyPatch(*patch) == large);
-    CHECK(!history.patchFrom(1));
+    CHECK(!history.patchFrom({ 1, 1 }));
     CHECK(!behind.applyPatch("[{\"op\":\"remove\",\"path\":\"/missing\"}]"));
+    CHECK(history.add({ 2, 4 }, text("{}")));
+    CHECK(!history.add({ 1, 10 }, text("{}")));
+    CHECK(history.version() == StoreVersion{ 2, 4 });
 }
 
 TEST_CASE("rendezvous hashing moves only the items of a removed VM")
--- a/tests/RateLimitSimulation.cpp
+++ b/tests/RateLimitSimulation.cpp
@@ -72,6 +72,15 @@
         m_storeUp = line.word(1) == "up";
         return;
     }
+    if (verb == "copy") {
+        m_copiedTable = m_storedTable;
+        return;
+    }
+    if (verb == "restore") {
+        m_storedTable = m_copiedTable;
+        ++m_era;
+        return;
+    }
     const std::string &name = line.word(1);
     Vm &vm = m_vms[name];
     if (verb == "traffic")
@@ -179,7 +188,7 @@
             vm.node->holders.setTable(other.node->holders.table());
             vm.node->holders.acknowledge(otherName, other.node->acknowledged);
         }
-        if (m_storeUp && m_network.connected(name, "store"))
+        if (m_storeUp && m_network.connected(name, "store") && m_storedTable.version.era == m_era)
             vm.node->holders.setTable(m_storedTable);
         applyTable(name, vm, now);
     }
@@ -207,10 +216,15 @@
         return;
     for (auto &[name, vm] : m_vms) {
         if (!isRunning(name, now) || !m_network.connected(name, "store")
-            || vm.node->holders.table().version != m_storedTable.version)
+            || (m_storedTable.version.era == m_era
+                && vm.node->holders.table().version != m_storedTable.version))
             continue;
         HolderCandidates candidates;
         candidates.gone = m_gone;
+        for (const auto &[listedName, listed] : m_vms) {
+            if (!m_gone.contains(listedName))
+                candidates.listed.insert(listedName);
+        }
         for (auto &[otherName, other] : m_vms) {
             const bool isReachable
                     = isRunning(otherName, now) && m_network.connected(name, otherName);
@@ -223,10 +237,19 @@
             if (other.leaving)
                 candidates.leaving.insert(otherName);
         }
-        auto table = proposeHolders(m_storedTable, vm.node->holders.complete(), candidates);
+        const HolderTable known = std::max(
+                m_storedTable, vm.node->holders.table(),
+                [](const HolderTable &a, const HolderTable &b) { return a.version < b.version; });
+        const bool complete
+                = known.version == vm.node->holders.table().version && vm.node->holders.complete();
+        std::optional<HolderTable> table;
+        if (known.version.exists() && known.version.era < m_era)
+            table = confirmHolders(known, complete, candidates);
+        else
+            table = proposeHolders(known, complete, candidates);
         if (!table)
             return;
-        table->version = m_storedTable.version + 1;
+        table->version = { m_era, m_storedTable.version.number + 1 };
         m_storedTable = *table;
         return;
     }
--- a/tests/RateLimitSimulation.h
+++ b/tests/RateLimitSimulation.h
@@ -16,8 +16,8 @@
 // of holders.
 //
 // Commands: traffic VM RATE, burst VM COUNT, kill VM, restart VM, pause VM TIME, cut VM, heal VM,
-// gone VM, join VM, leave VM, store down|up, measure. Expectations: over-admission 0, refused
-// below|above SHARE, admitted above COUNT, holders NAMES.
+// gone VM, join VM, leave VM, store down|up, copy, restore, measure. Expectations: over-admission
+// 0, refused below|above SHARE, admitted above COUNT, holders NAMES.
 class RateLimitSimulation final : public Simulation
 {
 public:
@@ -43,7 +43,7 @@
         {}
         RateLimiter limiter;
         HolderView holders;
-        std::uint64_t acknowledged = 0;
+        StoreVersion acknowledged;
     };
     struct Vm
     {
@@ -74,6 +74,8 @@
     FakeNetwork<Message> m_network;
     std::mt19937 m_random;
     HolderTable m_storedTable;
+    HolderTable m_copiedTable;
+    std::uint64_t m_era = 1; // of the store
     bool m_storeUp = true;
     std::set<std::string> m_gone;
     std::vector<Time> m_admittedAt;
