Claims that the store lost in a restore are written again

What callers saw: after the store came back from a copy, a request with an idempotency key that had run ran a second time, because its claim was not in the store any more.

Cause: ClaimRegistry took the store's content for the truth and forgot its own entries with the next read.

Change: when the era rises, each registry keeps the entries of every bucket that it had read, merges them into what it reads and writes them again. Buckets state the era in which they were confirmed so. New claims wait 3 s after a restore, and are refused as claim-unavailable in a bucket that nobody confirmed until lost claims would have expired. VMs learn of the new era from the store or from the configuration that another VM wrote in it.

--- a/src/decide/ClaimRegistry.cpp
+++ b/src/decide/ClaimRegistry.cpp
@@ -14,6 +14,8 @@
 constexpr Duration retryInterval = milliseconds(200);
 constexpr Duration uncertainRetention = seconds(60);
 constexpr Duration maxReadAge = milliseconds(500);
+constexpr std::uint64_t firstEra = 1; // the store has never been restored
+constexpr Duration unconfirmedReadInterval = milliseconds(500);
 
 } // namespace
 
@@ -27,7 +29,49 @@
     return "bucket-" + std::to_string(bucket);
 }
 
-std::string ClaimRegistry::encode(const std::map<std::string, Entry> &entries)
+void ClaimRegistry::setEra(std::uint64_t era, Time now)
+{
+    if (era <= m_era)
+        return;
+    const bool isRestore = m_era != 0;
+    m_era = era;
+    m_eraSeen = now;
+    for (auto &[index, bucket] : m_buckets) {
+        bucket.isLoaded = false;
+        bucket.retryAt = now;
+        if (!isRestore || !bucket.wasLoaded)
+            continue;
+        if (!bucket.memory)
+            bucket.memory = Memory{};
+        bucket.memory->version = bucket.version;
+        merge(bucket.memory->entries, bucket.entries);
+    }
+}
+
+// Adds remembered entries. Of two entries of a key, the one with an outcome stays.
+void ClaimRegistry::merge(Entries &entries, const Entries &remembered)
+{
+    for (const auto &[key, entry] : remembered) {
+        const auto [found, inserted] = entries.emplace(key, entry);
+        if (!inserted && found->second.state == EntryState::Running)
+            found->second = entry;
+    }
+}
+
+// Merges what is remembered from before a restore into the entries that were read. The memory
+// confirms the bucket unless the copy already has writes of another registry after it.
+void ClaimRegistry::recall(Bucket &bucket, Time now) const
+{
+    const bool isConfirmed = m_era <= firstEra || bucket.storedEra == m_era;
+    const bool isMemoryRecent = bucket.memory && bucket.memory->version >= bucket.version;
+    bucket.mayConfirm = isConfirmed || isMemoryRecent;
+    bucket.mustWrite = bucket.memory.has_value();
+    bucket.readAgainAt = now + unconfirmedReadInterval;
+    if (bucket.memory)
+        merge(bucket.entries, bucket.memory->entries);
+}
+
+std::string ClaimRegistry::encode(const Entries &entries, std::uint64_t era)
 {
     nlohmann::json claims = nlohmann::json::object();
     for (const auto &[key, entry] : entries) {
@@ -45,16 +89,18 @@
         }
         claims[key] = std::move(item);
     }
-    return nlohmann::json({ { "claims", claims } })
+    return nlohmann::json({ { "era", era }, { "claims", claims } })
             .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
-std::map<std::string, ClaimRegistry::Entry> ClaimRegistry::decode(const std::string &value)
+ClaimRegistry::Entries ClaimRegistry::decode(const std::string &value, std::uint64_t &era)
 {
-    std::map<std::string, Entry> entries;
+    Entries entries;
+    era = 0;
     const auto document = nlohmann::json::parse(value, nullptr, false);
     if (!document.is_object() || !document.contains("claims"))
         return entries;
+    era = document.value("era", std::uint64_t{ 0 });
     for (const auto &item : document["claims"].items()) {
         const nlohmann::json &from = item.value();
         Entry entry;
@@ -167,11 +213,30 @@
     }
 }
 
+// Refuses new claims in a bucket whose lost claims nobody has written again. It is read again
+// later: another registry may do so. Once the lost claims would have expired, the bucket is
+// confirmed by the next write.
+void ClaimRegistry::refuseUnconfirmed(Bucket &bucket, Time now)
+{
+    if (bucket.mayConfirm)
+        return;
+    std::erase_if(bucket.begins, [&](const PendingClaim &pending) {
+        bucket.mayConfirm
+                = bucket.mayConfirm || now - m_eraSeen >= seconds(pending.claim.retentionSeconds);
+        if (bucket.mayConfirm)
+            return false;
+        if (pending.maybeWritten)
+            bucket.uncertain[pending.claim.id] = { pending.claim.key, now };
+        decide(pending, ClaimVerdict::Unavailable, {});
+        return true;
+    });
+}
+
 // Builds the entries of the next write. Returns false if nothing changes.
-bool ClaimRegistry::prepareWrite(Bucket &bucket, std::int64_t nowUnixSeconds)
+bool ClaimRegistry::prepareWrite(Bucket &bucket, Time now, std::int64_t nowUnixSeconds) const
 {
     bucket.written = bucket.entries;
-    bool changed = false;
+    bool changed = bucket.mustWrite;
     for (const ClaimRelease &release : bucket.releases) {
         const auto found = bucket.written.find(release.key);
         if (found == bucket.written.end() || found->second.id != release.id
@@ -190,8 +255,9 @@
         found->second.outcome = finish.outcome;
         changed = true;
     }
+    const bool isGraceOver = m_era <= firstEra || now - m_eraSeen >= restoreGrace;
     for (PendingClaim &pending : bucket.begins) {
-        if (bucket.written.contains(pending.claim.key))
+        if (!isGraceOver || bucket.written.contains(pending.claim.key))
             continue; // claimed earlier in the same write
         Entry entry;
         entry.id = pending.claim.id;
@@ -216,12 +282,15 @@
         Bucket &bucket = entry.second;
         if (bucket.callPending || bucket.retryAt > now)
             continue;
-        if (bucket.begins.empty() && bucket.finishes.empty() && bucket.releases.empty())
+        if (bucket.begins.empty() && bucket.finishes.empty() && bucket.releases.empty()
+            && !bucket.memory)
             continue;
         // An expired entry no longer blocks its key.
         std::erase_if(bucket.entries, [&](const auto &stored) {
             return stored.second.expiresUnixSeconds <= nowUnixSeconds;
         });
+        if (!bucket.mayConfirm && bucket.readAgainAt <= now)
+            bucket.isLoaded = false;
         if (bucket.isLoaded)
             resolvePending(bucket, now);
         const bool needsRead = std::any_of(bucket.begins.begin(), bucket.begins.end(),
@@ -235,9 +304,10 @@
         }
         if (now - bucket.lastWrite < writeInterval)
             continue;
-        if (!prepareWrite(bucket, nowUnixSeconds))
+        refuseUnconfirmed(bucket, now);
+        if (!prepareWrite(bucket, now, nowUnixSeconds))
             continue;
-        std::string value = encode(bucket.written);
+        std::string value = encode(bucket.written, bucket.mayConfirm ? m_era : bucket.storedEra);
         if (value.size() > maxBucketBytes) {
             for (const PendingClaim &pending : bucket.begins)
                 decide(pending, ClaimVerdict::Unavailable, {});
@@ -246,6 +316,7 @@
         }
         bucket.callPending = true;
         bucket.lastWrite = now;
+        bucket.writeEra = m_era;
         calls.push_back({ index, true, bucket.version, std::move(value) });
     }
     return calls;
@@ -256,9 +327,11 @@
     Bucket &bucket = m_buckets[index];
     bucket.callPending = false;
     bucket.isLoaded = true;
+    bucket.wasLoaded = true;
     bucket.version = version;
     bucket.readAt = now;
-    bucket.entries = version == 0 ? std::map<std::string, Entry>{} : decode(value);
+    bucket.entries = decode(version == 0 ? "" : value, bucket.storedEra);
+    recall(bucket, now);
     for (PendingClaim &pending : bucket.begins)
         pending.inWrite = false;
     resolvePending(bucket, now);
@@ -267,9 +340,16 @@
 void ClaimRegistry::writeDone(int index, std::uint64_t version, Time now)
 {
     Bucket &bucket = m_buckets[index];
+    if (bucket.writeEra != m_era) {
+        callFailed(index, now); // prepared before a restore of the store
+        return;
+    }
     bucket.callPending = false;
     bucket.version = version;
     bucket.readAt = now;
+    bucket.storedEra = bucket.mayConfirm ? m_era : bucket.storedEra;
+    bucket.mustWrite = false;
+    bucket.memory.reset();
     bucket.entries = std::move(bucket.written);
     for (PendingClaim &pending : bucket.begins)
         pending.inWrite = false;
--- a/src/decide/ClaimRegistry.h
+++ b/src/decide/ClaimRegistry.h
@@ -81,9 +81,17 @@
 // them in the next conditional write. Ownership only avoids write conflicts. Correctness depends on
 // the store's version check alone, so two owners, a paused owner or a lost response are harmless. A
 // claim is granted only once its write is known to have taken effect.
+//
+// When the store comes back from a copy, claims that it acknowledged may be lost in it. Each
+// registry then writes the entries that it remembers of a bucket again, which confirms the bucket
+// for the store's new era. New claims are granted only in confirmed buckets, and not before the
+// other registries had time to do the same. If nothing is remembered of a bucket, new claims in it
+// are unavailable until lost ones would have expired.
 class ClaimRegistry
 {
 public:
+    // Time from a restore of the store until new claims are granted.
+    static constexpr Duration restoreGrace = seconds(3);
     static constexpr int bucketCount = 16;
     // Time between two writes of one bucket; limits the fleet to 160 writes per second.
     static constexpr Duration writeInterval = milliseconds(100);
@@ -96,6 +104,11 @@
     // Returns the name of a bucket's object in the store.
     static std::string bucketName(int bucket);
 
+    // Sets the store's era, which rises with each restore; in the first era nothing is lost. Call
+    // it before passing on results of that era. Results of earlier eras count as failed calls.
+    void setEra(std::uint64_t era, Time now);
+    std::uint64_t era() const { return m_era; }
+
     void begin(const std::string &from, const ClaimBegin &claim, Time now);
     void finish(const std::string &from, const ClaimFinish &claim);
     void release(const ClaimRelease &claim, Time now);
@@ -155,29 +168,48 @@
         std::string from;
         ClaimFinish claim;
     };
+    using Entries = std::map<std::string, Entry>; // by key
+    // What a registry knows of a bucket from before a restore of the store.
+    struct Memory
+    {
+        std::uint64_t version = 0;
+        Entries entries;
+    };
     struct Bucket
     {
         bool isLoaded = false; // version and entries match the store, as far as known
+        bool wasLoaded = false;
+        std::uint64_t storedEra = 0; // in which the bucket was last confirmed
+        bool mayConfirm = true;      // whether a write confirms the bucket for the current era
+        bool mustWrite = false;      // entries differ from those in the store
+        std::uint64_t writeEra = 0;  // of the write in flight
+        std::optional<Memory> memory;
         std::uint64_t version = 0;
         Time readAt;
-        std::map<std::string, Entry> entries;
+        Entries entries;
         std::vector<PendingClaim> begins;
         std::vector<PendingFinish> finishes;
         std::vector<ClaimRelease> releases;
         std::map<ClaimId, std::pair<std::string, Time>> uncertain; // declined, but may be written
         bool callPending = false;
-        std::map<std::string, Entry> written; // entries of the write in flight
+        Entries written; // entries of the write in flight
         Time lastWrite;
         Time retryAt;
+        Time readAgainAt; // of a bucket that is not confirmed
     };
 
     void resolvePending(Bucket &bucket, Time now);
     void decide(const PendingClaim &pending, ClaimVerdict verdict, const ClaimOutcome &outcome);
-    static bool prepareWrite(Bucket &bucket, std::int64_t nowUnixSeconds);
-    static std::string encode(const std::map<std::string, Entry> &entries);
-    static std::map<std::string, Entry> decode(const std::string &value);
+    void recall(Bucket &bucket, Time now) const;
+    void refuseUnconfirmed(Bucket &bucket, Time now);
+    bool prepareWrite(Bucket &bucket, Time now, std::int64_t nowUnixSeconds) const;
+    static void merge(Entries &entries, const Entries &remembered);
+    static std::string encode(const Entries &entries, std::uint64_t era);
+    static Entries decode(const std::string &value, std::uint64_t &era);
 
     std::map<int, Bucket> m_buckets;
+    std::uint64_t m_era = 0;
+    Time m_eraSeen;
     std::vector<OutgoingDecision> m_decisions;
 };
 
--- a/src/store/StoreClient.h
+++ b/src/store/StoreClient.h
@@ -5,6 +5,7 @@
 #include "config/Address.h"
 #include "core/StoreVersion.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -78,6 +79,8 @@
     std::uint64_t calls() const { return m_calls; }
     // The highest era in any response so far; 0 before the first one.
     std::uint64_t era() const { return m_era; }
+    // Treats responses of eras below this one as lost.
+    void raiseEra(std::uint64_t era) { m_era = std::max(m_era, era); }
 
 private:
     struct Response
--- a/src/store/StoreTask.cpp
+++ b/src/store/StoreTask.cpp
@@ -144,7 +144,12 @@
                                       },
                                       from.payload);
                        },
-                       [&](ConfigDocument &document) { m_activeConfig = std::move(document); },
+                       [&](ConfigDocument &document) {
+                           // Another VM may have seen a restore of the store first.
+                           m_client->raiseEra(document.version.era);
+                           checkEra(now);
+                           m_activeConfig = std::move(document);
+                       },
                        [&](HolderTableChanged &changed) {
                            if (changed.table.version > m_holderTable.version)
                                m_holderTable = std::move(changed.table);
@@ -213,6 +218,7 @@
         BASILDECK_WARNING(component) << "the store came back from a copy: era " << m_client->era();
     m_era = m_client->era();
     m_eraSeen = now;
+    m_claims.setEra(m_era, now);
     readAnew();
 }
 
@@ -410,6 +416,7 @@
         if (!call.isWrite) {
             m_client->read(claimsKind, name, [this, bucket](Result<StoredValue> value) {
                 const Time completed = Clock::now();
+                checkEra(completed);
                 if (value)
                     m_claims.readDone(bucket, value.value().version, value.value().value,
                                       completed);
@@ -422,6 +429,7 @@
         m_client->write(claimsKind, name, call.expectedVersion, call.value,
                         [this, bucket](Result<StoreVersion> version) {
                             const Time completed = Clock::now();
+                            checkEra(completed);
                             if (version) {
                                 m_claims.writeDone(bucket, version.value().number, completed);
                             } else if (version.error().kind == ErrorKind::EditConflict) {
--- a/tests/ClaimSimulation.cpp
+++ b/tests/ClaimSimulation.cpp
@@ -12,6 +12,8 @@
 constexpr Duration resendInterval = milliseconds(400);
 constexpr Duration runDuration = milliseconds(60);
 constexpr int retentionSeconds = 600;
+// Time after which VMs that made no call learn of a restore from the others.
+constexpr Duration eraGossipDelay = milliseconds(1500);
 
 std::int64_t unixSeconds(Time now)
 {
@@ -71,6 +73,16 @@
         m_storeLoss = line.word(1) == "losing" ? parseQuantity(line.word(2)) : 0;
         return;
     }
+    if (verb == "copy") {
+        m_copy = m_store;
+        return;
+    }
+    if (verb == "restore") {
+        m_store = m_copy;
+        ++m_era;
+        m_restoredAt = now;
+        return;
+    }
     Vm &vm = m_vms[line.word(1)];
     if (verb == "kill") {
         vm.registry.reset();
@@ -87,6 +99,16 @@
     }
 }
 
+void ClaimSimulation::announceEra(Time now)
+{
+    if (now - m_restoredAt < eraGossipDelay)
+        return;
+    for (auto &[name, vm] : m_vms) {
+        if (isRunning(vm, now))
+            vm.registry->setEra(m_era, now);
+    }
+}
+
 void ClaimSimulation::startRequests(Time now)
 {
     m_dueKeys += m_keyRate / 1000;
@@ -231,6 +253,7 @@
 void ClaimSimulation::executeCall(Call &call)
 {
     call.executed = true;
+    call.era = m_era;
     if (!m_storeUp) {
         call.lost = true;
         return;
@@ -251,7 +274,9 @@
     Vm &vm = m_vms[call.vm];
     if (!vm.registry || vm.incarnation != call.incarnation)
         return;
-    if (call.lost)
+    if (!call.lost)
+        vm.registry->setEra(call.era, now);
+    if (call.lost || call.era < vm.registry->era())
         vm.registry->callFailed(call.call.bucket, now);
     else if (!call.call.isWrite)
         vm.registry->readDone(call.call.bucket, call.version.value(), call.value, now);
@@ -264,6 +289,7 @@
 void ClaimSimulation::step(Time now)
 {
     m_lastStep = now;
+    announceEra(now);
     startRequests(now);
     deliver(now);
     for (auto &[name, vm] : m_vms) {
--- a/tests/ClaimSimulation.h
+++ b/tests/ClaimSimulation.h
@@ -15,7 +15,7 @@
 // that claim the key from one of possibly several owners, and a store that loses responses.
 //
 // Commands: keys RATE, repeats COUNT, owners COUNT, kill VM, restart VM, pause VM TIME, store
-// up|down|losing SHARE, latency TIME, measure.
+// up|down|losing SHARE, copy, restore, latency TIME, measure.
 // Expectations: runs-per-key 1, wrong-refusals 0, wrong-replays 0, run above COUNT,
 // writes-per-second below RATE.
 class ClaimSimulation final : public Simulation
@@ -62,10 +62,12 @@
         bool lost = false;
         Result<std::uint64_t> version = std::uint64_t{ 0 };
         std::string value;
+        std::uint64_t era = 0; // of the store when it executed the call
     };
 
     bool isRunning(const Vm &vm, Time now) const { return vm.registry && vm.pausedUntil <= now; }
     std::string ownerOf(const std::string &key);
+    void announceEra(Time now);
     void startRequests(Time now);
     void updateRequests(const std::string &name, Vm &vm, Time now);
     void deliver(Time now);
@@ -79,6 +81,9 @@
     FakeNetwork<Message> m_network;
     std::mt19937 m_random;
     standin::ObjectTable m_store;
+    standin::ObjectTable m_copy;
+    std::uint64_t m_era = 1; // of the store
+    Time m_restoredAt;
     std::multimap<Time, Call> m_calls;
     double m_keyRate;
     double m_dueKeys = 0;
--- a/tests/ScenarioTest.cpp
+++ b/tests/ScenarioTest.cpp
@@ -60,4 +60,10 @@
     }
 }
 
+TEST_CASE("claims of two owners of a bucket survive a restore in which one of them dies")
+{
+    run(Script::load(std::string(BASILDECK_SCENARIOS)
+                     + "/open/claims-two-owners-one-dies-in-a-restore.txt"));
+}
+
 } // namespace basildeck::test
--- a/tests/StoreRestoreTest.cpp
+++ b/tests/StoreRestoreTest.cpp
@@ -142,4 +142,22 @@
     });
 }
 
+TEST_CASE("a request whose claim the store lost in a restore is not run a second time")
+{
+    TestFleet fleet({ .vms = vmCount });
+    fleet.store().copyObjects();
+    const std::string request = makeAuthorizedRequest(
+            "POST", "/once", TestFleet::alphaKey, { { "Idempotency-Key", "order-1" } }, "order");
+    const auto first = standin::fetch(fleet.proxyAddress(0), request);
+    REQUIRE(first);
+    REQUIRE(first->head.status() == 200);
+    REQUIRE(fleet.store().restoreObjects());
+    for (std::size_t vm = 0; vm < vmCount; ++vm)
+        TestFleet::waitFor("the recorded response is repeated", [&] {
+            const auto repeated = standin::fetch(fleet.proxyAddress(vm), request);
+            return repeated && repeated->head.header("basildeck-replayed") == "true";
+        });
+    CHECK(fleet.upstreamRunCount() == 1);
+}
+
 } // namespace basildeck::test
