StoreTask drops a watch that was sent before it began to read anew

After a restore, or a failed write, everything is read anew from version 0. The response to a watch that was still in flight then could pass for that reading if the store's version had already passed the watched one, and the VM would wait for the next change instead of reading.

The response counts only if it continues from where the task stands.

--- a/src/store/StoreTask.cpp
+++ b/src/store/StoreTask.cpp
@@ -192,10 +192,10 @@
         return;
     }
     reportStoreContact(true);
-    const bool eraRose = changes.value().era != m_era;
     checkEra(Clock::now());
-    const bool hasVersion = changes.value().version >= from;
-    if (from != 0 && (eraRose || !hasVersion)) {
+    if (from != m_watchedVersion)
+        return; // everything is read anew
+    if (changes.value().version < from) {
         readAnew();
         return;
     }
--- a/tests/StoreRestoreTest.cpp
+++ b/tests/StoreRestoreTest.cpp
@@ -79,6 +79,20 @@
         CHECK(storeHasOrganisation(fleet, "delta"));
     }
 
+    SUBCASE("the store holds them again although its version has passed the watched one")
+    {
+        for (int i = 0; i < 20; ++i) {
+            const std::string path = "/v1/objects/other/" + std::to_string(i) + "?version=0";
+            const auto put = standin::fetch(fleet.storeAddress(),
+                                            standin::makeRequest("PUT", path, {}, "1"));
+            REQUIRE(put);
+            CHECK(put->head.status() == 200);
+        }
+        TestFleet::waitFor("the configuration is written again",
+                           [&] { return storeHasOrganisation(fleet, "epsilon"); });
+        CHECK(storeHasOrganisation(fleet, "delta"));
+    }
+
     SUBCASE("an edit right after the restore is based on them, and every VM follows it")
     {
         addOrganisation(fleet, "zeta", 2);
--- a/tests/TestFleet.h
+++ b/tests/TestFleet.h
@@ -49,6 +49,7 @@
         return m_settings[vm].operatorAddress;
     }
     standin::StoreStandin &store() { return *m_store; }
+    const Address &storeAddress() const { return m_storeAddress; }
     standin::UpstreamStandin &upstream(std::size_t index) { return *m_upstreams[index]; }
     std::size_t upstreamCount() const { return m_upstreams.size(); }
     EntryProcess &vm(std::size_t index) { return *m_vms[index]; }
