--- a/src/decide/PeerTable.h
+++ b/src/decide/PeerTable.h
@@ -2,10 +2,10 @@
 
 #include "basildeck/Time.h"
 #include "config/Address.h"
+#include "core/StoreVersion.h"
 #include "decide/CrashQuarantine.h"
 #include "decide/RegisteredVm.h"
 #include "decide/TargetReport.h"
-#include "store/StoreVersion.h"
 
 #include <cstdint>
 #include <map>
--- a/src/edge/ObjectReplica.h
+++ b/src/edge/ObjectReplica.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "core/StoreVersion.h"
 #include "edge/JsonHttpClient.h"
 #include "store/ObjectProtocol.h"
-#include "store/StoreVersion.h"
 
 #include <cstdint>
 #include <deque>
