Keep an evacuation that a restore lost in force for 10 s

Cause: shortened the time for which an evacuation that the copy lacks stays in force to 2.1 s, the time within which targets return. The operator has no such bound, and lifting an evacuation too early sends requests to a zone that is being emptied, while lifting it late costs only its targets (found in review).

Change: 10 s again.

--- a/src/edge/FleetView.h
+++ b/src/edge/FleetView.h
@@ -50,7 +50,7 @@
     // An evacuation in the store is in force at once. One that had been taken back is taken back
     // again by the operator, but one that was requested again must not be kept waiting.
     static constexpr RestoredObjectFilter::SettlingTimes evacuationSettlingTimes{
-        TargetTable::expiryGrace, Duration::zero()
+        seconds(10), Duration::zero()
     };
     static constexpr RestoredObjectFilter::SettlingTimes vmSettlingTimes{ seconds(10),
                                                                           seconds(10) };
