Answer a request behind a response that began before the end of acceptance

Cause: at the end of acceptance a connection with a pending response took no more input, also if the head of that response was out without `Connection: close`. Its caller was right to use the connection again; the request was read and discarded while the connection lingered.

Change: such a connection goes on reading, like one without a pending response, until it has been idle for the linger timeout.

Test: "a request behind a response that began before the end of acceptance is read": on the code before, the connection is shut down and the request is not handled.

--- a/src/edge/CallerConnection.cpp
+++ b/src/edge/CallerConnection.cpp
@@ -42,7 +42,11 @@
 {
     if (m_isLingering || m_isClosed)
         return;
-    if (m_pendingResponses.empty()) {
+    // A caller that was not told of the close may send its next request after the response.
+    const bool mayBeReused
+            = m_pendingResponses.empty()
+              || (m_pendingResponses.back().hasHead && !m_pendingResponses.back().closesConnection);
+    if (mayBeReused) {
         m_closesWhenIdle = true;
         tick(now);
         return;
--- a/src/edge/CallerConnection.h
+++ b/src/edge/CallerConnection.h
@@ -59,8 +59,9 @@
     // one.
     void tick(Time now);
     // Reads no further requests if some are pending, and closes once those are answered. Without a
-    // pending request, one that is in transit is still read, and answered by the handler; the
-    // connection closes after that response, or when it has been idle for the linger timeout.
+    // pending request, or behind a response that has begun without telling of the close, a request
+    // that is in transit is still read, and answered by the handler; the connection closes after
+    // that response, or when it has been idle for the linger timeout.
     void stopAcceptingRequests(Time now);
     // Output that the kernel has not taken yet.
     std::size_t unsentBytes() const { return m_stream->pendingOutput(); }
--- a/tests/CallerConnectionTest.cpp
+++ b/tests/CallerConnectionTest.cpp
@@ -51,8 +51,8 @@
         m_responseSink.reset();
     }
 
-    // Sends a request that the connection is expected to leave unhandled.
-    void sendUnhandledRequest()
+    // Sends a request without waiting until it is handled, which may not happen.
+    void sendWithoutWaiting()
     {
         const std::string_view bytes = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
         REQUIRE(write(m_caller, bytes.data(), bytes.size()) == static_cast<ssize_t>(bytes.size()));
@@ -161,6 +161,23 @@
     CHECK(fixture.callerSeesClose());
 }
 
+TEST_CASE("a request behind a response that began before the end of acceptance is read")
+{
+    ConnectionFixture fixture;
+    fixture.sendRequest();
+    const ResponseSink streamed = fixture.responseSink();
+    streamed.head("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n");
+    streamed.body("x");
+    fixture.stopAccepting();
+    streamed.body("y");
+    streamed.finish(false);
+    CHECK_FALSE(fixture.callerSeesClose());
+    fixture.sendWithoutWaiting();
+    REQUIRE(fixture.requestCount() == 2);
+    fixture.respond();
+    CHECK(fixture.callerSeesClose());
+}
+
 TEST_CASE("no request is accepted behind a response that announces the close of its connection")
 {
     ConnectionFixture fixture;
@@ -170,7 +187,7 @@
     const ResponseSink second = fixture.responseSink();
     fixture.announceClose();
     ConnectionFixture::respond(second); // waits for the first response
-    fixture.sendUnhandledRequest();
+    fixture.sendWithoutWaiting();
     CHECK(fixture.requestCount() == 2);
     ConnectionFixture::respond(first);
     CHECK(fixture.callerSeesClose());
