Do not pass on a queued request that the shutdown is about to end

Callers would see 504 in place of a refusal as not run (found in review).

Cause: a request that waits in the queue of a target was sent when a slot became free, whatever was left until the shutdown ends the remaining requests; only first sends and retries were compared with that time.

Change: the queue compares as well; a request that cannot end in time is dispatched again, which refuses it as not run unless another target is faster.

--- a/src/edge/Forwarder.cpp
+++ b/src/edge/Forwarder.cpp
@@ -274,8 +274,13 @@
         const auto found = m_requests.find(next->id);
         if (found == m_requests.end())
             continue;
-        found->second->isQueued = false;
-        sendToTarget(*found->second, target);
+        Request &request = *found->second;
+        request.isQueued = false;
+        const Time end = now + expectedRun(request, target);
+        if (end > endOfService(end))
+            dispatch(request); // refuses it, unless another target is faster
+        else
+            sendToTarget(request, target);
     }
 }
 
--- a/tests/EdgeShutdownTest.cpp
+++ b/tests/EdgeShutdownTest.cpp
@@ -52,6 +52,21 @@
     CHECK_FALSE(caller->receive());
 }
 
+TEST_CASE("a queued request is not passed on when the shutdown is about to end requests")
+{
+    EdgeFixture fixture(1, 1);
+    auto first = fixture.sendAsCaller(EdgeFixture::request("GET", "/safe/1", "r1"));
+    auto running = fixture.awaitRequest();
+    auto second = fixture.sendAsCaller(EdgeFixture::request("GET", "/safe/1", "r2"));
+    while (fixture.openRequests() < 2) {
+    }
+    const Time now = Clock::now();
+    fixture.beginShutdown({ now, now, now + seconds(60), now, now + seconds(60) });
+    running.socket->send(EdgeFixture::sealedResponse("r1", "x"));
+    CHECK(completeResponse(*first).body == "x");
+    CHECK(completeResponse(*second).head.status() == 503);
+}
+
 TEST_CASE("a request that cannot end before the shutdown does is refused and not cut off")
 {
     EdgeFixture fixture;
