Let streamed responses go on until a VM that shuts down exits

Cause: when the remaining requests are ended, a response that is being streamed was cut off by a reset of its connection. That discards the output before it that a slow caller has not read, and the responses queued behind it. The time for deliveries after it did not serve streamed responses.

Change: only requests without a streamed response are ended then. Streams go on and are cut off when the process exits.

Test: "a response that is being streamed goes on when the remaining requests are ended" got half of the body with the streams cut off as before.

--- a/src/edge/EdgeProcess.cpp
+++ b/src/edge/EdgeProcess.cpp
@@ -320,16 +320,17 @@
             = m_hasStoppedAccepting && m_callerServer->connectionCount() == 0 && m_isDeregistered;
     if (!isDone && now < m_shutdown->endRequestsAt)
         return;
-    if (!isDone && !m_hasAbortedRequests) {
-        // Aborting also releases complete responses that are queued behind an incomplete one.
-        m_hasAbortedRequests = true;
+    if (!isDone && !m_hasEndedRequests) {
+        // This also releases complete responses that are queued behind an incomplete one.
+        m_hasEndedRequests = true;
         BASILDECK_INFO(logComponent)
                 << "ending open requests open_requests=" << m_forwarder.openRequests();
-        m_forwarder.abortAll();
+        m_forwarder.endRequests();
         return;
     }
     if (!isDone && now < m_shutdown->exitAt)
         return;
+    m_forwarder.truncateResponses();
     BASILDECK_INFO(logComponent) << "left open_requests=" << m_forwarder.openRequests()
                                  << " connections=" << m_callerServer->connectionCount()
                                  << " unsent_bytes=" << m_callerServer->unsentBytes();
--- a/src/edge/EdgeProcess.h
+++ b/src/edge/EdgeProcess.h
@@ -104,7 +104,7 @@
     std::optional<ShutdownSchedule> m_shutdown;
     bool m_isAnnouncementDue = false;
     bool m_hasStoppedAccepting = false;
-    bool m_hasAbortedRequests = false;
+    bool m_hasEndedRequests = false;
     bool m_isDeregistered = false;
     Time m_lastReload{};
     std::uint64_t m_lookupCount = 0;
--- a/src/edge/Forwarder.h
+++ b/src/edge/Forwarder.h
@@ -69,8 +69,11 @@
     // shutdown ends them, are refused. From now on, the log lines of requests that end without the
     // answer of a target tell how long after the signal each of their stages was.
     void beginShutdown(const ShutdownSchedule &schedule) { m_shutdown = schedule; }
-    // Ends all open requests, because the process is about to exit.
-    void abortAll();
+    // Ends the open requests, because the process is about to exit. Responses that are being
+    // streamed go on, so that the ones queued before and behind them are not lost either.
+    void endRequests();
+    // Cuts off the responses that are still being streamed.
+    void truncateResponses();
 
     // Dispatches or refuses requests whose wait for a quota token has ended.
     void resolveTokenWaits();
@@ -120,6 +123,8 @@
     void truncateResponse(Request &request);
     void startStreaming(Request &request);
     void forwardBody(Request &request, std::string_view bytes);
+    // The open requests whose responses are, or are not, being streamed.
+    std::vector<RequestId> openRequestIds(bool streaming) const;
     // Ends the current attempt. Returns the connection to the pool unless the attempt was
     // cancelled.
     void endAttempt(Request &request, bool cancelled);
--- a/src/edge/ForwarderResponses.cpp
+++ b/src/edge/ForwarderResponses.cpp
@@ -290,25 +290,38 @@
         sendQueued(*target);
 }
 
-void Forwarder::abortAll()
+std::vector<Forwarder::RequestId> Forwarder::openRequestIds(bool streaming) const
 {
     std::vector<RequestId> ids;
-    ids.reserve(m_requests.size());
-    for (const auto &[id, request] : m_requests)
-        ids.push_back(id);
-    for (const RequestId id : ids) {
+    for (const auto &[id, request] : m_requests) {
+        if (request->response.isStreaming == streaming)
+            ids.push_back(id);
+    }
+    return ids;
+}
+
+void Forwarder::endRequests()
+{
+    for (const RequestId id : openRequestIds(false)) {
         const auto found = m_requests.find(id);
         if (found == m_requests.end())
             continue;
         Request &request = *found->second;
         request.mayHaveRun = request.mayHaveRun || request.isInFlight;
         endAttempt(request, true);
-        if (request.response.isStreaming) {
-            truncateResponse(request);
-        } else {
-            refuse(request, request.mayHaveRun ? ErrorKind::UpstreamTimeout : ErrorKind::Leaving,
-                   request.mayHaveRun ? Duration::zero() : defaultRetryAfter);
-        }
+        refuse(request, request.mayHaveRun ? ErrorKind::UpstreamTimeout : ErrorKind::Leaving,
+               request.mayHaveRun ? Duration::zero() : defaultRetryAfter);
+    }
+}
+
+void Forwarder::truncateResponses()
+{
+    for (const RequestId id : openRequestIds(true)) {
+        const auto found = m_requests.find(id);
+        if (found == m_requests.end())
+            continue;
+        endAttempt(*found->second, true);
+        truncateResponse(*found->second);
     }
 }
 
--- a/tests/EdgeFixture.cpp
+++ b/tests/EdgeFixture.cpp
@@ -133,9 +133,9 @@
     runOnLoop([&] { m_forwarder->beginShutdown(schedule); });
 }
 
-void EdgeFixture::abortAll()
+void EdgeFixture::endRequests()
 {
-    runOnLoop([this] { m_forwarder->abortAll(); });
+    runOnLoop([this] { m_forwarder->endRequests(); });
 }
 
 std::size_t EdgeFixture::openRequests()
--- a/tests/EdgeFixture.h
+++ b/tests/EdgeFixture.h
@@ -35,8 +35,8 @@
     std::size_t openRequests();
     // Tells the forwarder that the process received SIGTERM.
     void beginShutdown(const ShutdownSchedule &schedule);
-    // Ends all open requests.
-    void abortAll();
+    // Ends the open requests as at the end of a shutdown.
+    void endRequests();
     // Sets whether another VM grants a loan of one quota token per organisation when the edge
     // requests tokens, in the same loop iteration.
     void setLoansGranted(bool granted);
--- a/tests/EdgeShutdownTest.cpp
+++ b/tests/EdgeShutdownTest.cpp
@@ -67,6 +67,22 @@
     CHECK(completeResponse(*second).head.status() == 503);
 }
 
+TEST_CASE("a response that is being streamed goes on when the remaining requests are ended")
+{
+    EdgeFixture fixture;
+    const std::string half(Forwarder::maxBufferedResponseBytes * 2, 'x');
+    auto caller = fixture.sendAsCaller(EdgeFixture::request("GET", "/safe/", "r1"));
+    auto received = fixture.awaitRequest();
+    const std::string response = EdgeFixture::sealedResponse("r1", half + half);
+    received.socket->send(response.substr(0, response.size() - half.size()));
+    REQUIRE(standin::readHead(*caller));
+    fixture.endRequests();
+    received.socket->send(half);
+    while (caller->buffer().size() < 2 * half.size() && caller->receive()) {
+    }
+    CHECK(caller->buffer().size() == 2 * half.size());
+}
+
 TEST_CASE("a request that cannot end before the shutdown does is refused and not cut off")
 {
     EdgeFixture fixture;
--- a/tests/OperationsLogTest.cpp
+++ b/tests/OperationsLogTest.cpp
@@ -131,7 +131,7 @@
     auto caller = fixture.sendAsCaller(EdgeFixture::request("GET", "/safe/", "cut-1"));
     auto received = fixture.awaitRequest();
     fixture.beginShutdown(ShutdownSchedule::make(Clock::now(), seconds(6)));
-    fixture.abortAll();
+    fixture.endRequests();
     REQUIRE(readResponse(*caller));
     CHECK(hasFields(log.line({ "refused", "request=cut-1", "reason=upstream-timeout" }),
                     { "sigterm_connected_ms", "sigterm_received_ms", "sigterm_read_ms",
