A registration that a restored store still has counts as made

Cause: a new era makes a VM's own registration doubtful, and the check of the store's list could only take it as lost, never confirm it, so every VM went through its list of VMs twice a second from then on (found in review).

Change: a registration in the store with the VM's own content counts as made.

Test: "a registration that the store still has after a restore counts as made" fails with the old condition.

--- a/src/edge/VmRegistration.cpp
+++ b/src/edge/VmRegistration.cpp
@@ -44,9 +44,9 @@
 void VmRegistration::check(const std::map<std::string, StoredObject> &stored)
 {
     const auto own = stored.find(m_settings.vmName);
-    m_isRegistered = m_isRegistered && own != stored.end();
     const bool isCurrent = own != stored.end() && own->second.content == m_content;
-    if (!isCurrent && !m_isRegistered && !m_isRemoved && !isBusy())
+    m_isRegistered = isCurrent || (m_isRegistered && own != stored.end());
+    if (!m_isRegistered && !m_isRemoved && !isBusy())
         registerSelf();
 }
 
--- a/tests/VmRegistrationTest.cpp
+++ b/tests/VmRegistrationTest.cpp
@@ -94,6 +94,15 @@
     CHECK(f.registration.isRegistered());
 }
 
+TEST_CASE("a registration that the store still has after a restore counts as made")
+{
+    RegistrationFixture f;
+    f.registration.invalidate();
+    f.registration.check(f.listed(f.content()));
+    CHECK_FALSE(f.registration.isBusy());
+    CHECK(f.registration.isRegistered());
+}
+
 TEST_CASE("a registration that is older in the copy is written again")
 {
     RegistrationFixture f;
