Give a VM that returns after a restore time to be heard

Cause: a VM that had left before the restore and started again finds the entry that the copy brought back as its own and writes nothing. The VM that removes entries of the lost kind did so at its next check, unless it had already heard a heartbeat of the other (found in review).

Change: such an entry is removed only after it was held back for the time in which a silent VM counts as unreachable.

--- a/src/edge/FleetView.cpp
+++ b/src/edge/FleetView.cpp
@@ -221,7 +221,8 @@
     if (!isVmListCurrent || vms.isOfEarlierEra())
         return;
     std::set<std::string> left;
-    for (const StoredObject &object : m_filters.at(vmKind).undeleted())
+    for (const StoredObject &object : m_filters.at(vmKind).undeleted(
+                 m_dependencies.loop.now(), m_dependencies.peers.reachabilityTimeout()))
         left.insert(object.name);
     const auto lostVm = m_dependencies.peers.vmToDeregister(m_dependencies.loop.now(), left);
     const auto object = vms.objects().find(lostVm.value_or(std::string()));
--- a/src/edge/RestoredObjectFilter.cpp
+++ b/src/edge/RestoredObjectFilter.cpp
@@ -144,11 +144,12 @@
     return !due.empty();
 }
 
-std::vector<StoredObject> RestoredObjectFilter::undeleted() const
+std::vector<StoredObject> RestoredObjectFilter::undeleted(Time now, Duration unwrittenFor) const
 {
     std::vector<StoredObject> objects;
     for (const auto &[name, held] : m_held) {
-        if (held.object && !m_objects.contains(name))
+        const Time heldSince = held.until - m_times.older;
+        if (held.object && !m_objects.contains(name) && now - heldSince >= unwrittenFor)
             objects.push_back(*held.object);
     }
     return objects;
--- a/src/edge/RestoredObjectFilter.h
+++ b/src/edge/RestoredObjectFilter.h
@@ -54,8 +54,9 @@
 
     // The objects in force, by name.
     const std::map<std::string, StoredObject> &objects() const { return m_objects; }
-    // The objects that had been deleted and that the store has again because of the copy.
-    std::vector<StoredObject> undeleted() const;
+    // The objects that had been deleted and that the store has again because of the copy, if they
+    // were not written again for a time.
+    std::vector<StoredObject> undeleted(Time now, Duration unwrittenFor) const;
 
 private:
     struct Deletion
