Lookup responses expire before a VM that shuts down stops accepting

Callers saw: connections reset and refused around planned stops more often since acceptance ends at 2.5 s instead of 3.0 to 3.25 s.

Cause: lookup responses were valid for 3 s, so callers went on using a VM for half a second after it had stopped accepting.

Change: they are valid for the time of acceptance less 200 ms, in which the other VMs learn of the shutdown.

--- a/src/decide/ShutdownSchedule.h
+++ b/src/decide/ShutdownSchedule.h
@@ -8,8 +8,7 @@
 // as callers may still choose the VM, but early enough that nearly all of them end by themselves.
 struct ShutdownSchedule
 {
-    // Limits the time in which requests are accepted. Callers may use a lookup response for a
-    // little longer; those find that the VM accepts no connection and choose another one.
+    // Limits the time in which requests are accepted.
     static constexpr Duration maxAcceptTime = milliseconds(2500);
     // Limits the time that is reserved for delivering the responses to the remaining requests.
     static constexpr Duration maxDeliveryTime = milliseconds(900);
--- a/src/edge/EdgeProcess.h
+++ b/src/edge/EdgeProcess.h
@@ -43,8 +43,11 @@
 class EdgeProcess
 {
 public:
-    // The time for which callers may cache a lookup response, unless the settings shorten it.
-    static constexpr Duration lookupTtl = seconds(3);
+    // Other VMs and the caller of a lookup learn within this time that a VM shuts down.
+    static constexpr Duration maxShutdownNoticeTime = milliseconds(200);
+    // The time for which callers may cache a lookup response, unless the settings shorten it. It
+    // ends before a VM that shuts down stops accepting.
+    static constexpr Duration lookupTtl = ShutdownSchedule::maxAcceptTime - maxShutdownNoticeTime;
     static constexpr Duration tickPeriod = milliseconds(250);
 
     // Listens on all addresses. The error names the address that cannot be used.
