Names and comments of the restored store read as usual

Change: listAgain, broughtBackByCopy (objects that the copy brought back), m_settlesAt (it lies in the future); comments.

--- a/src/admin/EditRunner.h
+++ b/src/admin/EditRunner.h
@@ -35,7 +35,7 @@
 //
 // After a restore of the store an edit waits until the store holds the configuration in force
 // again, so that it is not based on an older document. An edit whose write the restore may have
-// undone starts anew.
+// undone starts again.
 class EditRunner
 {
 public:
--- a/src/edge/EdgeProcess.h
+++ b/src/edge/EdgeProcess.h
@@ -70,7 +70,7 @@
     std::uint64_t handleControlRequest(const IncomingRequest &request);
     void sendControlResponse(const ResponseSink &sink, int status, const std::string &type,
                              const std::string &body);
-    // Refuses the lookup if no VM that serves is known, so that the caller asks another one.
+    // Refuses the lookup if no VM that serves is known, so that the caller tries another.
     void sendLookupResponse(const ResponseSink &sink, const LookupQuery &query);
     std::string metricsText() const;
 
--- a/src/edge/FleetView.cpp
+++ b/src/edge/FleetView.cpp
@@ -221,7 +221,7 @@
     if (!isVmListCurrent || vms.isOfEarlierEra())
         return;
     std::set<std::string> left;
-    for (const StoredObject &object : m_filters.at(vmKind).undeleted(
+    for (const StoredObject &object : m_filters.at(vmKind).broughtBackByCopy(
                  m_dependencies.loop.now(), m_dependencies.peers.reachabilityTimeout()))
         left.insert(object.name);
     const auto lostVm = m_dependencies.peers.vmToDeregister(m_dependencies.loop.now(), left);
--- a/src/edge/ObjectReplica.cpp
+++ b/src/edge/ObjectReplica.cpp
@@ -74,7 +74,7 @@
         return;
     recordEra(era);
     if (m_isWatching)
-        listAnew();
+        listAgain();
 }
 
 void ObjectReplica::recordEra(std::uint64_t era)
@@ -88,7 +88,7 @@
             << " version=" << m_version << " era=" << era;
 }
 
-void ObjectReplica::listAnew()
+void ObjectReplica::listAgain()
 {
     m_retryTimer.stop();
     if (m_client.isBusy())
@@ -144,7 +144,7 @@
     if (m_listContinuation.empty()) {
         m_listVersion = { m_storeEra, page.value().storeRevision };
     } else if (m_listVersion.era != m_storeEra) {
-        listAnew();
+        listAgain();
         return;
     }
     const bool more = page.value().hasMore && !page.value().objects.empty();
@@ -281,7 +281,7 @@
         BASILDECK_INFO(logComponent)
                 << "store no longer has the change history, listing again kind=" << m_kind
                 << " version=" << m_version;
-        listAnew();
+        listAgain();
         return;
     }
     if (response.value().status != statusOk) {
@@ -296,7 +296,7 @@
     }
     // The revision from which the store reported changes is one of another history.
     if (m_watchEra != m_storeEra) {
-        listAnew();
+        listAgain();
         return;
     }
     setReachable(true, "watched");
--- a/src/edge/ObjectReplica.h
+++ b/src/edge/ObjectReplica.h
@@ -17,7 +17,7 @@
 // A local replica of all store objects of one kind, kept up to date with list and watch calls, or
 // with the changes that another VM relays. While this VM cannot reach the store, newer snapshots
 // from other VMs can be adopted. The version of the replica never decreases: when the store returns
-// from an older copy, its era rises, and the objects are listed anew.
+// from an older copy, its era rises, and the objects are listed again.
 class ObjectReplica
 {
 public:
@@ -66,7 +66,7 @@
     // Whether the store is known to be in a higher era than the replica.
     bool isOfEarlierEra() const { return m_version.era < m_storeEra; }
     // The store was seen in an era. If that is higher than the replica's, the objects are listed
-    // anew, and nothing of a lower era is applied.
+    // again, and nothing of a lower era is applied.
     void raiseEra(std::uint64_t era);
     bool isReachable() const { return m_reachable; }
     const std::map<std::string, StoredObject> &objects() const { return m_objects; }
@@ -88,7 +88,7 @@
     void handleListResponse(const Result<JsonHttpResponse> &response);
     void watch();
     void handleWatchResponse(const Result<JsonHttpResponse> &response);
-    void listAnew();
+    void listAgain();
     // Takes notice of the era of a response. Returns false for one of an earlier era, which is not
     // applied; the call is repeated later.
     bool acceptEra(const JsonHttpResponse &response);
--- a/src/edge/RestoredObjectFilter.cpp
+++ b/src/edge/RestoredObjectFilter.cpp
@@ -76,8 +76,8 @@
 void RestoredObjectFilter::stored(const StoredObject &object, Time now)
 {
     // What was lost may be written again in several steps, the older ones first.
-    if (m_settledAt && now < *m_settledAt && isOlderByOrder(object).value_or(false)) {
-        m_held[object.name] = { object, *m_settledAt };
+    if (m_settlesAt && now < *m_settlesAt && isOlderByOrder(object).value_or(false)) {
+        m_held[object.name] = { object, *m_settlesAt };
         return;
     }
     accept(object);
@@ -90,7 +90,7 @@
 
 void RestoredObjectFilter::restored(const std::map<std::string, StoredObject> &objects, Time now)
 {
-    m_settledAt = now + std::max(m_times.missing, m_times.older);
+    m_settlesAt = now + std::max(m_times.missing, m_times.older);
     m_held.clear();
     std::size_t missing = 0;
     for (const auto &[name, known] : m_objects) {
@@ -123,8 +123,8 @@
     std::erase_if(m_deletions, [&](const auto &entry) {
         return now - entry.second.at > deletionMemory && !m_held.contains(entry.first);
     });
-    if (m_settledAt && now >= *m_settledAt)
-        m_settledAt.reset();
+    if (m_settlesAt && now >= *m_settlesAt)
+        m_settlesAt.reset();
     std::map<std::string, HeldState> due;
     for (const auto &[name, held] : m_held) {
         if (now >= held.until)
@@ -144,7 +144,8 @@
     return !due.empty();
 }
 
-std::vector<StoredObject> RestoredObjectFilter::undeleted(Time now, Duration unwrittenFor) const
+std::vector<StoredObject> RestoredObjectFilter::broughtBackByCopy(Time now,
+                                                                  Duration unwrittenFor) const
 {
     std::vector<StoredObject> objects;
     for (const auto &[name, held] : m_held) {
--- a/src/edge/RestoredObjectFilter.h
+++ b/src/edge/RestoredObjectFilter.h
@@ -56,7 +56,7 @@
     const std::map<std::string, StoredObject> &objects() const { return m_objects; }
     // The objects that had been deleted and that the store has again because of the copy, if they
     // were not written again for a time.
-    std::vector<StoredObject> undeleted(Time now, Duration unwrittenFor) const;
+    std::vector<StoredObject> broughtBackByCopy(Time now, Duration unwrittenFor) const;
 
 private:
     struct Deletion
@@ -85,7 +85,7 @@
     std::map<std::string, StoredObject> m_objects;
     std::map<std::string, Deletion> m_deletions; // recent ones, by name
     std::map<std::string, HeldState> m_held;     // by name
-    std::optional<Time> m_settledAt;             // set while states may be held
+    std::optional<Time> m_settlesAt;             // set while states may be held
 };
 
 } // namespace basildeck
--- a/src/store/StoreTask.cpp
+++ b/src/store/StoreTask.cpp
@@ -194,7 +194,7 @@
     reportStoreContact(true);
     checkEra(Clock::now());
     if (from != m_watchedVersion)
-        return; // everything is read anew
+        return; // everything is read again
     if (changes.value().version < from) {
         readAnew();
         return;
@@ -392,7 +392,7 @@
                     });
 }
 
-// After a conflict or a lost response, reads anew; the next check then decides again.
+// After a conflict or a lost response, reads again; the next check then decides again.
 void StoreTask::onHolderTableWritten(const Result<StoreVersion> &result, HolderTable table)
 {
     m_holderWritePending = false;
--- a/src/store/StoreTask.h
+++ b/src/store/StoreTask.h
@@ -24,7 +24,7 @@
 // its zone's watcher, proposes the table of holders if this VM is the proposer, and commits the
 // claims in the buckets that this VM owns.
 //
-// When the store's era rises, it came back from a copy, and the task reads everything anew. The
+// When the store's era rises, it came back from a copy, and the task reads everything again. The
 // configuration in force stays in force, and a watcher writes it again. The proposer writes a table
 // of holders that every VM has to confirm.
 class StoreTask
--- a/tests/RestoredObjectFilterTest.cpp
+++ b/tests/RestoredObjectFilterTest.cpp
@@ -173,8 +173,8 @@
     f.filter.tick(later);
     f.filter.restored({ { "a", target("a", 10, 3) } }, later);
     CHECK(f.takeEvents().empty());
-    CHECK(f.filter.undeleted(later, seconds(1)).empty()); // its author may write it again
-    CHECK(f.filter.undeleted(later + seconds(1), seconds(1)).size() == 1);
+    CHECK(f.filter.broughtBackByCopy(later, seconds(1)).empty()); // its author may write it again
+    CHECK(f.filter.broughtBackByCopy(later + seconds(1), seconds(1)).size() == 1);
 
     SUBCASE("its entry is removed again")
     {
@@ -187,7 +187,7 @@
     {
         f.filter.stored(target("a", 11, 1, "ready", 2000), later + seconds(1));
         CHECK(f.takeEvents() == "+a ");
-        CHECK(f.filter.undeleted(later + seconds(1), seconds(1)).empty());
+        CHECK(f.filter.broughtBackByCopy(later + seconds(1), seconds(1)).empty());
     }
     SUBCASE("its entry is still there after the settling time")
     {
