--- a/review/rig/Rig.h
+++ b/review/rig/Rig.h
@@ -65,6 +65,8 @@
     const TargetPlan &plan() const { return m_plan; }
     // Times at which requests arrived while it was cold.
     std::vector<Time> coldArrivals();
+    // How many of them arrived in the last second.
+    int coldRate();
 
 private:
     void acceptAll(int listener, std::uint64_t life);
@@ -143,7 +145,8 @@
 std::string requestId();
 
 // The operator's configuration, as `fleetbench wire` shows it.
-nlohmann::json configuration(const nlohmann::json &routes, const std::vector<std::string> &services);
+nlohmann::json configuration(const nlohmann::json &routes,
+                             const std::vector<std::string> &services);
 nlohmann::json route(const std::string &prefix, const std::string &type, const std::string &service,
                      int timeoutMs, int aimMs, int attempts = 2);
 
--- a/review/rig/main.cpp
+++ b/review/rig/main.cpp
@@ -10,8 +10,8 @@
 {
     using namespace rig;
     static const std::map<std::string, int (*)(const Options &)> cases = {
-        { "long-bodies", playLongBodies },         { "pipelined-downloads", playPipelinedDownloads },
-        { "cut-pipelined", playCutPipelined },     { "poison", playPoison },
+        { "long-bodies", playLongBodies },     { "pipelined-downloads", playPipelinedDownloads },
+        { "cut-pipelined", playCutPipelined }, { "poison", playPoison },
         { "cold-restart", playColdRestart },
     };
     if (argc != 4 || !cases.contains(argv[1])) {
