Stream a long response only when it is the next one of its connection

Change: a response is streamed when the ones before it are complete (ResponseSink::isNext, RequestHandler::responseIsNext). Until then it is buffered as before, but can still be replaced, so one that is cut off is retried if the request is idempotent, or becomes a refusal with an unknown run. The callers of the earlier requests get their answers because nothing of the cut response was sent.

--- a/src/edge/CallerConnection.cpp
+++ b/src/edge/CallerConnection.cpp
@@ -162,7 +162,10 @@
              [this, id](std::string_view bytes) { writeResponseBody(id, bytes); },
              [this, id](bool closesConnection) { finishResponse(id, closesConnection); },
              [this] { abortResponse(); },
-             [this] { return m_stream->pendingOutput() > TcpStream::highWaterBytes; } };
+             [this] { return m_stream->pendingOutput() > TcpStream::highWaterBytes; },
+             [this, id] {
+                 return !m_pendingResponses.empty() && m_pendingResponses.front().id == id;
+             } };
 }
 
 CallerConnection::PendingResponse *CallerConnection::findPending(std::uint64_t id)
@@ -214,11 +217,16 @@
 
 void CallerConnection::flushResponses()
 {
+    bool hasNewNext = false;
     while (!m_pendingResponses.empty()) {
         PendingResponse &front = m_pendingResponses.front();
         m_stream->write(std::exchange(front.output, {}));
-        if (!front.isDone)
+        if (!front.isDone) {
+            if (hasNewNext && front.request != 0)
+                m_context.handler.responseIsNext(front.request);
             return;
+        }
+        hasNewNext = true;
         const bool ends = front.closesConnection;
         m_pendingResponses.pop_front();
         m_idleSince = m_context.loop.now();
--- a/src/edge/CallerConnection.h
+++ b/src/edge/CallerConnection.h
@@ -26,6 +26,8 @@
     std::function<void(RequestId)> callerDisconnected;
     // The output buffer of a request's connection has been drained.
     std::function<void(RequestId)> callerOutputDrained;
+    // The response to a request is the next one of its connection (see ResponseSink::isNext).
+    std::function<void(RequestId)> responseIsNext = [](RequestId) {};
 };
 
 // The state shared by the connections of one server.
--- a/src/edge/EdgeProcess.cpp
+++ b/src/edge/EdgeProcess.cpp
@@ -73,6 +73,7 @@
         },
         [&self](std::uint64_t id) { self.m_forwarder.callerDisconnected(id); },
         [&self](std::uint64_t id) { self.m_forwarder.callerOutputDrained(id); },
+        [&self](std::uint64_t id) { self.m_forwarder.responseIsNext(id); },
     };
     self.m_callerServer = BOOST_OUTCOME_TRYX(
             EdgeServer::make(self.m_loop, settings.callerAddress, callerHandler,
@@ -127,7 +128,8 @@
                                   m_forwarder.declineUnreadable(sink, kind);
                               },
                               [this](std::uint64_t id) { m_forwarder.callerDisconnected(id); },
-                              [this](std::uint64_t id) { m_forwarder.callerOutputDrained(id); } },
+                              [this](std::uint64_t id) { m_forwarder.callerOutputDrained(id); },
+                              [this](std::uint64_t id) { m_forwarder.responseIsNext(id); } },
                             m_settings.memoryBytes / bodyMemoryDivisor / 2);
 }
 
--- a/src/edge/ForwardedRequest.h
+++ b/src/edge/ForwardedRequest.h
@@ -30,6 +30,9 @@
     std::function<void()> abort;
     // Whether so much output is buffered that reading the response should be paused.
     std::function<bool()> isCongested;
+    // Whether all earlier responses of the connection are complete, so that this one is sent as it
+    // is written. Until then it can still be replaced by another response.
+    std::function<bool()> isNext;
 };
 
 // A complete request from a caller.
--- a/src/edge/Forwarder.h
+++ b/src/edge/Forwarder.h
@@ -82,6 +82,8 @@
     void callerDisconnected(RequestId id);
     // The output buffer of the caller's connection has been drained.
     void callerOutputDrained(RequestId id);
+    // All responses that are due before this request's on the caller's connection are complete.
+    void responseIsNext(RequestId id);
     // The process received SIGTERM. Requests that arrive too late, or that cannot end before the
     // shutdown ends them, are refused. From now on, the log lines of requests that end without the
     // answer of a target tell how long after the signal each of their stages was.
@@ -179,6 +181,8 @@
     void handleNotExecuted(Request &request);
     // Ends a response whose head was sent so that the caller sees that it is incomplete.
     void truncateResponse(Request &request);
+    // Whether the response is that of a target, and complete enough in its head to be streamed.
+    bool mayStream(const Request &request) const;
     void startStreaming(Request &request);
     void forwardBody(Request &request, std::string_view bytes);
     // The open requests whose responses are, or are not, being streamed.
--- a/src/edge/ForwarderResponses.cpp
+++ b/src/edge/ForwarderResponses.cpp
@@ -105,13 +105,32 @@
         return;
     }
     request.response.body.append(bytes);
-    const MessageHead &head = request.response.head;
-    const bool isSigned = head.fields.find(m_names.responseSeal) != nullptr;
-    if (request.response.body.size() > maxBufferedResponseBytes && isTargetResponse(request)
-        && isSigned && head.fields.find("content-encoding") == nullptr)
-        startStreaming(request);
-    else if (request.response.body.size() > maxUnforwardedBodyBytes)
+    if (mayStream(request)) {
+        // A response that has to wait for earlier ones can still be replaced if it is cut off.
+        if (request.response.body.size() > maxBufferedResponseBytes
+            && request.incoming.sink.isNext())
+            startStreaming(request);
+    } else if (request.response.body.size() > maxUnforwardedBodyBytes) {
         handleExchangeFailure(request, ExchangeFailure::Malformed);
+    }
+}
+
+bool Forwarder::mayStream(const Request &request) const
+{
+    const HeaderFields &fields = request.response.head.fields;
+    return isTargetResponse(request) && fields.find(m_names.responseSeal) != nullptr
+           && fields.find("content-encoding") == nullptr;
+}
+
+void Forwarder::responseIsNext(RequestId id)
+{
+    const auto found = m_requests.find(id);
+    if (found == m_requests.end())
+        return;
+    Request &request = *found->second;
+    if (!request.response.isStreaming && request.response.body.size() > maxBufferedResponseBytes
+        && mayStream(request))
+        startStreaming(request);
 }
 
 void Forwarder::startStreaming(Request &request)
--- a/tests/CutResponseTest.cpp
+++ b/tests/CutResponseTest.cpp
@@ -2,6 +2,11 @@
 
 #include <doctest/doctest.h>
 
+#include <chrono>
+#include <future>
+#include <tuple>
+#include <utility>
+
 namespace basildeck::test {
 
 using standin::RawResponse;
@@ -79,6 +84,81 @@
     }
 }
 
+// Guards against the loss of responses that are due before a long one that is cut off: its
+// connection was reset although none of its bytes had been sent.
+TEST_CASE("a long response is cut off while an earlier one of its connection is pending")
+{
+    const std::string cutHead = "HTTP/1.1 200 OK\r\nRequest-Id: r2\r\nResponse-Seal: s\r\n"
+                                "Content-Length: 200000\r\n\r\n";
+    const std::string part(100'000, 'p');
+    const auto sendBoth = [](EdgeFixture &fixture, const std::string &second) {
+        auto caller = fixture.sendAsCaller(EdgeFixture::request("GET", "/safe/1", "r1") + second);
+        auto first = fixture.awaitRequest();
+        auto cut = fixture.awaitRequest();
+        if (first.head.header("request-id") == "r2")
+            std::swap(first, cut);
+        return std::tuple(std::move(caller), std::move(first), std::move(cut));
+    };
+
+    SUBCASE("it is retried if it is idempotent")
+    {
+        EdgeFixture fixture(2);
+        const std::string object
+                = "Cookie: Affinity-Key=" + fixture.objectPlacedAt("/safe/", 0) + "\r\n";
+        auto caller = fixture.sendAsCaller(EdgeFixture::request("GET", "/safe/1", "r1", object)
+                                           + EdgeFixture::request("GET", "/safe/2", "r2", object));
+        auto first = fixture.awaitRequest(0);
+        auto cut = fixture.awaitRequest(0);
+        if (first.head.header("request-id") == "r2")
+            std::swap(first, cut);
+        cut.socket->send(cutHead + part);
+        cut.socket.reset();
+        auto retry = std::async(std::launch::async, [&] { return fixture.target(1).accept(); });
+        if (retry.wait_for(std::chrono::seconds(10)) != std::future_status::ready)
+            fixture.target(1).stop();
+        const auto retried = retry.get();
+        REQUIRE(retried);
+        CHECK(standin::readHead(*retried)->header("request-id") == "r2");
+        retried->send(cutHead + part + part);
+        first.socket->send(EdgeFixture::sealedResponse("r1", "one"));
+        CHECK(completeResponse(*caller).body == "one");
+        CHECK(completeResponse(*caller).body == part + part);
+    }
+
+    SUBCASE("it is replaced by a refusal if it is not idempotent")
+    {
+        EdgeFixture fixture;
+        auto [caller, first, cut]
+                = sendBoth(fixture, EdgeFixture::request("POST", "/unsafe/", "r2", {}, "x"));
+        cut.socket->send(cutHead + part);
+        cut.socket.reset();
+        while (fixture.openRequests() > 1) {
+        }
+        first.socket->send(EdgeFixture::sealedResponse("r1", "one"));
+        CHECK(completeResponse(*caller).body == "one");
+        const RawResponse replaced = completeResponse(*caller);
+        CHECK(replaced.head.status() == 502);
+        CHECK(replaced.head.header("basildeck-run") == "unknown");
+        CHECK(replaced.head.header("response-seal").empty());
+    }
+
+    SUBCASE("it is streamed once it is the next one")
+    {
+        EdgeFixture fixture;
+        auto [caller, first, cut] = sendBoth(fixture, EdgeFixture::request("GET", "/safe/2", "r2"));
+        cut.socket->send(cutHead + part);
+        first.socket->send(EdgeFixture::sealedResponse("r1", "one"));
+        CHECK(completeResponse(*caller).body == "one");
+        REQUIRE(standin::readHead(*caller));
+        while (caller->buffer().size() < part.size())
+            REQUIRE(caller->receive());
+        cut.socket->send(part);
+        while (caller->buffer().size() < 2 * part.size())
+            REQUIRE(caller->receive());
+        CHECK(caller->buffer() == part + part);
+    }
+}
+
 TEST_SUITE_END();
 
 } // namespace basildeck::test
--- a/tests/EdgeFixture.cpp
+++ b/tests/EdgeFixture.cpp
@@ -93,23 +93,25 @@
                   m_forwarder->refuseUnreadable(sink, kind);
               },
               [this](std::uint64_t id) { m_forwarder->callerDisconnected(id); },
-              [this](std::uint64_t id) { m_forwarder->callerOutputDrained(id); } },
+              [this](std::uint64_t id) { m_forwarder->callerOutputDrained(id); },
+              [this](std::uint64_t id) { m_forwarder->responseIsNext(id); } },
             1'000'000);
     REQUIRE(server);
     m_server = std::move(server.value());
     m_server->setLimits(config.limits);
     m_peerAddress = { ip, standin::freePort(ip) };
-    auto peerServer = EdgeServer::make(
-            m_loop, m_peerAddress,
-            { [this](IncomingRequest request) {
-                 return m_forwarder->submitForPeer(std::move(request));
-             },
-              [this](const ResponseSink &sink, ErrorKind kind) {
-                  m_forwarder->declineUnreadable(sink, kind);
-              },
-              [this](std::uint64_t id) { m_forwarder->callerDisconnected(id); },
-              [this](std::uint64_t id) { m_forwarder->callerOutputDrained(id); } },
-            1'000'000);
+    auto peerServer
+            = EdgeServer::make(m_loop, m_peerAddress,
+                               { [this](IncomingRequest request) {
+                                    return m_forwarder->submitForPeer(std::move(request));
+                                },
+                                 [this](const ResponseSink &sink, ErrorKind kind) {
+                                     m_forwarder->declineUnreadable(sink, kind);
+                                 },
+                                 [this](std::uint64_t id) { m_forwarder->callerDisconnected(id); },
+                                 [this](std::uint64_t id) { m_forwarder->callerOutputDrained(id); },
+                                 [this](std::uint64_t id) { m_forwarder->responseIsNext(id); } },
+                               1'000'000);
     REQUIRE(peerServer);
     m_peerServer = std::move(peerServer.value());
     m_peerServer->setLimits(config.limits);
