Deliver complete responses although the one behind them is cut off

Seen by callers: a caller that reads slowly, or over a slow link, lost a whole response when the streamed response behind it on the same connection was cut off.

Cause: cutting off a response reset the connection, which discards the output that the caller has not received yet, of earlier responses too.

Change: a response with a length or in chunks is cut by the end of the connection after the output has been sent; it shows the caller that bytes are missing. Only a response that the end of the connection delimits needs the reset.

Evidence: "a complete response is delivered although the one behind it is cut off" failed before (the first response was not found in what the caller received) and passes now, with the test that a delimited one still resets.

--- a/src/edge/CallerConnection.cpp
+++ b/src/edge/CallerConnection.cpp
@@ -161,7 +161,7 @@
     return { [this, id](const std::string &head) { writeResponseHead(id, head); },
              [this, id](std::string_view bytes) { writeResponseBody(id, bytes); },
              [this, id](bool closesConnection) { finishResponse(id, closesConnection); },
-             [this] { abortResponse(); },
+             [this](bool isDelimitedByClose) { abortResponse(isDelimitedByClose); },
              [this] { return m_stream->pendingOutput() > TcpStream::highWaterBytes; },
              [this, id] {
                  return !m_pendingResponses.empty() && m_pendingResponses.front().id == id;
@@ -244,12 +244,18 @@
         m_stream->setReading(true);
 }
 
-void CallerConnection::abortResponse()
+void CallerConnection::abortResponse(bool isDelimitedByClose)
 {
-    // A reset keeps a response that is delimited by the end of the connection from looking
-    // complete.
-    m_stream->reset();
-    closeNow();
+    if (isDelimitedByClose) {
+        m_stream->reset();
+        closeNow();
+        return;
+    }
+    if (!m_pendingResponses.empty()) {
+        m_stream->write(m_pendingResponses.front().output);
+        m_pendingResponses.pop_front();
+    }
+    closeAfterOutput();
 }
 
 void CallerConnection::closeAfterOutput()
--- a/src/edge/CallerConnection.h
+++ b/src/edge/CallerConnection.h
@@ -92,7 +92,7 @@
     void writeResponseHead(std::uint64_t id, const std::string &head);
     void writeResponseBody(std::uint64_t id, std::string_view bytes);
     void finishResponse(std::uint64_t id, bool closesConnection);
-    void abortResponse();
+    void abortResponse(bool isDelimitedByClose);
     void flushResponses();
 
     void closeAfterOutput();
--- a/src/edge/ForwardedRequest.h
+++ b/src/edge/ForwardedRequest.h
@@ -26,8 +26,10 @@
     // The response is complete. closesConnection tells that it is delimited by the end of the
     // connection, or that the connection cannot be reused.
     std::function<void(bool closesConnection)> finish;
-    // The response cannot be completed, which must be visible to the caller.
-    std::function<void()> abort;
+    // The response, which has begun and is the next one, cannot be completed. This must be visible
+    // to the caller: if the response is delimited by the end of the connection, only a reset shows
+    // it, which may discard earlier responses that the caller has not received yet.
+    std::function<void(bool isDelimitedByClose)> abort;
     // Whether so much output is buffered that reading the response should be paused.
     std::function<bool()> isCongested;
     // Whether all earlier responses of the connection are complete, so that this one is sent as it
--- a/src/edge/ForwarderResponses.cpp
+++ b/src/edge/ForwarderResponses.cpp
@@ -357,7 +357,8 @@
                                  << " route=" << request.route->name
                                  << " target=" << request.targetId << shutdownTimeline(request);
     m_metrics.countTruncatedResponse(request.route->name, organisationName(request));
-    request.incoming.sink.abort();
+    request.incoming.sink.abort(request.incoming.head.isHttp10
+                                && !request.response.head.contentLength);
     finish(request);
 }
 
--- a/tests/CallerConnectionTest.cpp
+++ b/tests/CallerConnectionTest.cpp
@@ -5,7 +5,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <optional>
+#include <string>
 
 namespace basildeck {
 
@@ -81,6 +83,22 @@
         return count == 0;
     }
 
+    // Reads what the caller's end of the connection receives until its end, and lets the server
+    // write.
+    std::string receiveUntilEnd()
+    {
+        std::string received;
+        std::string buffer(100'000, '\0');
+        for (;;) {
+            const ssize_t count = recv(m_caller, buffer.data(), buffer.size(), 0);
+            if (count == 0 || (count < 0 && errno != EAGAIN))
+                return received;
+            if (count > 0)
+                received.append(buffer, 0, static_cast<std::size_t>(count));
+            uv_run(m_loop.handle(), UV_RUN_NOWAIT);
+        }
+    }
+
     // Whether the connection has reported that it is closed.
     bool isClosed() const { return m_isClosed; }
     CallerConnection &connection() { return *m_connection; }
@@ -193,6 +211,39 @@
     CHECK(fixture.callerSeesClose());
 }
 
+// Guards against the loss of a complete response that a slow reader has not taken yet: the response
+// behind it was cut off, and the connection was reset.
+TEST_CASE("a complete response is delivered although the one behind it is cut off")
+{
+    ConnectionFixture fixture;
+    fixture.sendRequest();
+    const ResponseSink first = fixture.responseSink();
+    fixture.sendRequest();
+    const ResponseSink second = fixture.responseSink();
+    const std::string body(4'000'000, 'a'); // more than the kernel buffers
+    const std::string begin = "HTTP/1.1 200 OK\r\nContent-Length: ";
+    first.head(begin + std::to_string(body.size()) + "\r\n");
+    first.body(body);
+    first.finish(false);
+    second.head(begin + "10\r\n");
+    second.body("part");
+    REQUIRE(fixture.connection().unsentBytes() > 0);
+    second.abort(false);
+    const std::string received = fixture.receiveUntilEnd();
+    CHECK(received.find(body) != std::string::npos);
+    CHECK(received.ends_with("part"));
+}
+
+TEST_CASE("a cut response that the end of its connection delimits resets the connection")
+{
+    ConnectionFixture fixture;
+    fixture.sendRequest();
+    fixture.responseSink().head("HTTP/1.1 200 OK\r\n");
+    fixture.responseSink().body("part");
+    fixture.responseSink().abort(true);
+    CHECK(fixture.isClosed());
+}
+
 TEST_CASE("a request that crosses the end of acceptance is read and its response closes")
 {
     ConnectionFixture fixture;
--- a/tests/OddEntryTest.cpp
+++ b/tests/OddEntryTest.cpp
@@ -137,7 +137,7 @@
     std::string body;
     relay.handleCatchUp("servers=0.0", { [](const std::string &) {},
                                          [&](std::string_view bytes) { body.append(bytes); },
-                                         [](bool) {}, [] {}, [] { return false; } });
+                                         [](bool) {}, [](bool) {}, [] { return false; } });
     return body;
 }
 
--- a/tests/ReplicaRelayTest.cpp
+++ b/tests/ReplicaRelayTest.cpp
@@ -38,7 +38,7 @@
     {
         return { [this](const std::string &text) { head = text; },
                  [this](std::string_view bytes) { body += bytes; },
-                 [this](bool) { isComplete = true; }, [] {}, [] { return false; } };
+                 [this](bool) { isComplete = true; }, [](bool) {}, [] { return false; } };
     }
 
     std::string head;
--- a/tools/soak/SoakStore.cpp
+++ b/tools/soak/SoakStore.cpp
@@ -141,7 +141,7 @@
     else
         put(kind, name, json::parse(request.body).at("spec"));
     if (m_mode == StoreMode::DropResponses) {
-        request.sink.abort();
+        request.sink.abort(true);
         return;
     }
     sendResponse(request.sink, status, json::object());
@@ -200,7 +200,7 @@
 void SoakStore::cutWatches()
 {
     for (const Watch &watch : std::exchange(m_watches, {}))
-        watch.sink.abort();
+        watch.sink.abort(true);
 }
 
 void SoakStore::keepCopy()
--- a/tools/soak/SoakTargets.cpp
+++ b/tools/soak/SoakTargets.cpp
@@ -296,7 +296,7 @@
     }
     const std::string length = "Content-Length: " + std::to_string(body.size()) + "\r\n";
     if (mode == TargetMode::DropResponses) {
-        sink.abort();
+        sink.abort(true);
         return;
     }
     if (mode == TargetMode::TruncateResponses) {
