Group the classes of placement in src/decide/placement

Change: Placement, RunTimeEstimator and TargetChoice move without a change of their code; the includes follow. ConcurrencyLimiter stays, because the part that coordinates access uses it too.

--- a/src/decide/Placement.cpp
+++ b/src/decide/placement/Placement.cpp
@@ -1,4 +1,4 @@
-#include "decide/Placement.h"
+#include "decide/placement/Placement.h"
 
 #include "core/Hash.h"
 
--- a/src/decide/RunTimeEstimator.cpp
+++ b/src/decide/placement/RunTimeEstimator.cpp
@@ -1,4 +1,4 @@
-#include "decide/RunTimeEstimator.h"
+#include "decide/placement/RunTimeEstimator.h"
 
 namespace basildeck {
 
--- a/src/decide/TargetChoice.cpp
+++ b/src/decide/placement/TargetChoice.cpp
@@ -1,4 +1,4 @@
-#include "decide/TargetChoice.h"
+#include "decide/placement/TargetChoice.h"
 
 #include <algorithm>
 
--- a/src/edge/Forwarder.cpp
+++ b/src/edge/Forwarder.cpp
@@ -2,7 +2,7 @@
 
 #include "core/Hash.h"
 #include "core/Log.h"
-#include "decide/TargetChoice.h"
+#include "decide/placement/TargetChoice.h"
 
 #include <algorithm>
 #include <utility>
--- a/tests/OverloadSimulation.cpp
+++ b/tests/OverloadSimulation.cpp
@@ -2,9 +2,9 @@
 
 #include "core/Hash.h"
 #include "decide/OutlierDetector.h"
-#include "decide/RunTimeEstimator.h"
-#include "decide/TargetChoice.h"
 #include "decide/TargetReport.h"
+#include "decide/placement/RunTimeEstimator.h"
+#include "decide/placement/TargetChoice.h"
 
 #include <algorithm>
 #include <list>
--- a/tests/OverloadSimulation.h
+++ b/tests/OverloadSimulation.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "decide/ConcurrencyLimiter.h"
-#include "decide/Placement.h"
+#include "decide/placement/Placement.h"
 
 #include <cstdint>
 #include <deque>
--- a/tests/PlacementTest.cpp
+++ b/tests/PlacementTest.cpp
@@ -1,10 +1,10 @@
-#include "decide/Placement.h"
+#include "decide/placement/Placement.h"
 #include "core/Hash.h"
 #include "decide/ColdTargetLimiter.h"
 #include "decide/ConcurrencyLimiter.h"
 #include "decide/OutlierDetector.h"
-#include "decide/TargetChoice.h"
 #include "decide/WeightedRoundRobin.h"
+#include "decide/placement/TargetChoice.h"
 
 #include <doctest/doctest.h>
 
