Read the speed that targets report, and let it age

Cause: the fourth figure of Server-Load, how long work currently takes on the target's machine, was not read. It changes many times a second.

Change: reportedLoad() reads "running,waiting,slots,speed"; a speed that is not a whole number from 1 to 10,000 is left out, the first three figures stay valid. TargetTable::reportsSpeed() says whether a service counts as one whose targets report their speed, for a minute after the last report.

--- a/src/decide/ConcurrencyLimiter.h
+++ b/src/decide/ConcurrencyLimiter.h
@@ -16,6 +16,9 @@
     int running = 0;
     int waiting = 0;
     int slots = 0;
+    // How long work currently takes on the target's machine, 100 being the usual value; empty if
+    // the target did not report it, or a value that is not valid.
+    std::optional<int> speedPercent;
 };
 
 // Adaptive limit on the requests that this VM has in flight at one target, with a priority queue
--- a/src/edge/TargetNotice.cpp
+++ b/src/edge/TargetNotice.cpp
@@ -1,6 +1,7 @@
 #include "edge/TargetNotice.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <cmath>
 
@@ -9,6 +10,7 @@
 namespace {
 
 constexpr int statusUnavailable = 503;
+constexpr int maxSpeedPercent = 10'000;
 
 // Parses a decimal number that is not negative.
 std::optional<double> parseRate(const std::string &text)
@@ -21,6 +23,17 @@
     return rate;
 }
 
+// Parses the figure of a load after the first three.
+std::optional<int> parseSpeed(const char *at, const char *end)
+{
+    int speed = 0;
+    const auto [next, error] = std::from_chars(at, end, speed);
+    const bool isWhole = next == end || *next == ',';
+    if (error != std::errc() || !isWhole || speed <= 0 || speed > maxSpeedPercent)
+        return std::nullopt;
+    return speed;
+}
+
 } // namespace
 
 bool saysLeaving(const MessageHead &head, const WireNames &names)
@@ -52,6 +65,25 @@
     return notice;
 }
 
+std::optional<LoadReport> reportedLoad(const MessageHead &head, const WireNames &names)
+{
+    const std::string *text = head.fields.find(names.serverLoad);
+    if (text == nullptr)
+        return std::nullopt;
+    LoadReport report;
+    const std::array<int *, 3> numbers = { &report.running, &report.waiting, &report.slots };
+    const char *at = text->data();
+    const char *const end = at + text->size();
+    for (int *number : numbers) {
+        const auto [next, error] = std::from_chars(at, end, *number);
+        if (error != std::errc())
+            return std::nullopt;
+        at = next == end ? next : next + 1;
+    }
+    report.speedPercent = parseSpeed(at, end);
+    return report;
+}
+
 std::optional<Duration> requestedHoldOff(const MessageHead &head)
 {
     const std::string *text = head.fields.find("Retry-After");
--- a/src/edge/TargetNotice.h
+++ b/src/edge/TargetNotice.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "basildeck/Time.h"
+#include "decide/ConcurrencyLimiter.h"
 #include "decide/TargetLimit.h"
 #include "edge/HttpParser.h"
 #include "edge/WireNames.h"
@@ -37,6 +38,11 @@
 // target's, or names an invalid rate; the lowest of several rates counts.
 std::optional<LimitNotice> limitNotice(const MessageHead &head, const WireNames &names);
 
+// Returns the load that a response reports as "running,waiting,slots,speed". A speed that is not a
+// positive whole number of at most 10,000 is left out, like one that is missing; nothing is
+// returned if another figure is invalid.
+std::optional<LoadReport> reportedLoad(const MessageHead &head, const WireNames &names);
+
 // Returns for how long the target wants no requests from this VM, if its response says so.
 std::optional<Duration> requestedHoldOff(const MessageHead &head);
 
--- a/src/edge/TargetTable.cpp
+++ b/src/edge/TargetTable.cpp
@@ -120,6 +120,24 @@
         m_onUnavailable(target);
 }
 
+void TargetTable::noteLoad(TargetState &target, const LoadReport &report, Time now)
+{
+    target.load.record(report, now);
+    if (!report.speedPercent)
+        return;
+    const std::string &service = target.registration.service;
+    if (!reportsSpeed(service, now))
+        BASILDECK_INFO(logComponent)
+                << "targets report their speed, placing by expected completion service=" << service;
+    m_speedReportedAt[service] = now;
+}
+
+bool TargetTable::reportsSpeed(const std::string &service, Time now) const
+{
+    const auto found = m_speedReportedAt.find(service);
+    return found != m_speedReportedAt.end() && now - found->second < speedReportLifetime;
+}
+
 std::optional<Duration> TargetTable::holdOffLeft(const std::string &service,
                                                  const std::vector<std::string> &allowedRegions,
                                                  Time now) const
@@ -248,6 +266,8 @@
         return now - kept.removedAt > noticeLifetime && !kept.notice.isHeldOff(now);
     });
     expireLimits(now);
+    std::erase_if(m_speedReportedAt,
+                  [&](const auto &entry) { return now - entry.second >= speedReportLifetime; });
     std::vector<std::string> gone;
     for (auto &[id, target] : m_targets) {
         target->connections.closeExpired(now);
--- a/src/edge/TargetTable.h
+++ b/src/edge/TargetTable.h
@@ -5,6 +5,7 @@
 #include "decide/OutlierDetector.h"
 #include "decide/TargetPartitionDetector.h"
 #include "decide/placement/Placement.h"
+#include "decide/placement/TargetLoad.h"
 #include "edge/ConnectionPool.h"
 #include "edge/EdgeSettings.h"
 #include "edge/FleetObjects.h"
@@ -48,6 +49,7 @@
     bool isCrashReportHeld = false; // until it is known whether this VM is partitioned
     std::optional<Time> removeAt;   // set if its entry expired during a store outage
     TargetNotice notice;
+    TargetLoad load;
 };
 
 // All registered targets and their state as observed by this VM.
@@ -62,6 +64,9 @@
     // How long the notice of a removed target is kept, in case its entry returns.
     static constexpr Duration noticeLifetime = std::chrono::minutes(10);
 
+    // How long a service counts as one whose targets report their speed after the last such report.
+    static constexpr Duration speedReportLifetime = std::chrono::minutes(1);
+
     TargetTable(EventLoop &loop, const EdgeSettings &settings);
 
     void registerTarget(const RegisteredTarget &target, Time now);
@@ -75,6 +80,11 @@
     void holdOff(TargetState &target, Duration duration, Time now);
     // A response of the target to this VM names the request rate that it takes, or none.
     void noteLimit(TargetState &target, const LimitNotice &notice, Time now);
+    // A target reports its load.
+    void noteLoad(TargetState &target, const LoadReport &report, Time now);
+    // Whether targets of a service report the speed of their machine, which indicates that their
+    // capacity varies from moment to moment.
+    bool reportsSpeed(const std::string &service, Time now) const;
     // Another VM reports the request rate that a target named.
     void learnLimit(const TargetLimitReport &report, Time now);
     // What this VM observed lately, for the other VMs.
@@ -172,6 +182,7 @@
     std::map<std::string, std::unique_ptr<TargetState>, std::less<>> m_targets;
     std::map<std::string, KeptNotice> m_keptNotices; // by target id
     std::map<std::string, Placement> m_placements;   // by service, built on demand
+    std::map<std::string, Time> m_speedReportedAt;   // by service
     std::set<std::string> m_evacuatedZones;
     std::map<std::string, Service> m_services;
     std::size_t m_regionVmCount = 1;
--- a/src/edge/WireNames.h
+++ b/src/edge/WireNames.h
@@ -20,7 +20,7 @@
     // In responses of targets.
     std::string notExecuted;  // present if the target did not execute the request
     std::string responseSeal; // the target's signature of the response
-    std::string serverLoad;   // running, waiting and slots
+    std::string serverLoad;   // running, waiting, slots and speed
     // The target is leaving. Concerns the VMs and the target, so callers do not get it: they would
     // take it for the VM's own leaving.
     std::string serverLeaving;
--- a/tests/TargetTableTest.cpp
+++ b/tests/TargetTableTest.cpp
@@ -48,6 +48,24 @@
 
 TEST_SUITE_BEGIN("target table");
 
+// Guards against requests that are placed by completion long after the targets were replaced by
+// ones that do not report their speed, and against one service changing the choice of another.
+TEST_CASE("a service counts as reporting its speed for a minute after the last report")
+{
+    TargetTableFixture fixture;
+    const auto reports = [&](Duration after) {
+        return fixture.targets.reportsSpeed("gauge", fixture.now + after);
+    };
+    TargetState &target = *fixture.targets.find("i-1");
+    fixture.targets.noteLoad(target, { 1, 0, 4 }, fixture.now);
+    CHECK_FALSE(reports(seconds(0)));
+    fixture.targets.noteLoad(target, { 1, 0, 4, 100 }, fixture.now);
+    fixture.targets.noteLoad(target, { 1, 0, 4 }, fixture.now + seconds(1));
+    CHECK(reports(seconds(59)));
+    CHECK_FALSE(reports(seconds(60)));
+    CHECK_FALSE(fixture.targets.reportsSpeed("other", fixture.now));
+}
+
 TEST_CASE("a removal takes effect at once while the store is reachable")
 {
     TargetTableFixture fixture;
