Choose targets by expected completion where they report their speed

Cause: the expected run time of a kind at a target did not distinguish warm objects from others, so a request whose own target was busy went to another one, ran three times as long there, took three times the slot time and evicted a warm object.

Change: for services whose targets report their speed, chooseByCompletion stays with the target of the object while it can meet the objective, and leaves it only for one that can, counting the cold run. The candidates include the second target of the region in the same ranking, and four targets for requests without an object. Run times are estimated separately where the object is placed and elsewhere (PlacedRunTimes). What cannot complete in time is refused at once with a spread delay. Other services are placed by the same code as before.

--- a/src/edge/EdgeProcess.cpp
+++ b/src/edge/EdgeProcess.cpp
@@ -234,7 +234,7 @@
 std::string EdgeProcess::metricsText() const
 {
     std::string text = m_forwarder.metrics().prometheusText() + m_forwarder.peerMetricsText()
-                       + m_partition.metricsText();
+                       + m_forwarder.placementMetricsText() + m_partition.metricsText();
     const auto add = [&](const std::string &name, std::uint64_t value) {
         text += name + " " + std::to_string(value) + "\n";
     };
--- a/src/edge/ForwardedRequest.h
+++ b/src/edge/ForwardedRequest.h
@@ -72,6 +72,9 @@
     std::vector<std::string> allowedRegions;
     std::uint64_t placementHash = 0; // selects the targets for the request
     std::uint64_t fingerprint = 0;   // identical for repetitions of a request
+    // Where the object of the request is placed; empty if it has none, or before the first choice.
+    std::string homeTarget;
+    bool isLate = false; // sent, or queued, without a prospect of meeting the objective
     int priority = 0;
     Time submittedAt; // when the request had been read completely
     Time softDeadline;
--- a/src/edge/Forwarder.cpp
+++ b/src/edge/Forwarder.cpp
@@ -2,7 +2,6 @@
 
 #include "core/Hash.h"
 #include "core/Log.h"
-#include "decide/placement/TargetChoice.h"
 
 #include <algorithm>
 #include <utility>
@@ -17,26 +16,6 @@
 constexpr double retryShare = 0.7;
 constexpr Duration noTargetRetryAfter = milliseconds(500);
 
-// Describes the load of each candidate target for the log: requests in flight and allowed, queue
-// length, expected wait and expected run time.
-std::string describeCandidates(const std::vector<TargetState *> &candidates,
-                               const std::vector<CandidateLoad> &loads)
-{
-    std::string text = "homes=";
-    for (std::size_t i = 0; i < candidates.size(); ++i) {
-        const ConcurrencyLimiter &limiter = candidates[i]->concurrencyLimiter;
-        const auto count = [](Duration d) {
-            return std::to_string(std::chrono::duration_cast<milliseconds>(d).count());
-        };
-        text += (i > 0 ? "," : "") + candidates[i]->registration.id
-                + ":in_flight=" + std::to_string(limiter.inFlight()) + "/"
-                + std::to_string(static_cast<int>(limiter.limit()))
-                + ":waiting=" + std::to_string(limiter.waitingCount())
-                + ":wait_ms=" + count(loads[i].wait) + ":run_ms=" + count(loads[i].run);
-    }
-    return text;
-}
-
 } // namespace
 
 Forwarder::Forwarder(EventLoop &loop, const EdgeSettings &settings, const WireNames &names,
@@ -178,40 +157,6 @@
     return id;
 }
 
-std::vector<TargetState *> Forwarder::eligibleCandidates(const Request &request, Time now)
-{
-    const Placement::Candidates groups
-            = m_targets.placement(request.service)
-                      .candidates(request.placementHash, m_settings.region, request.allowedRegions,
-                                  maxCandidatesPerGroup + m_targets.limitedCount());
-    std::vector<TargetState *> usable;
-    std::vector<bool> isDisplaced; // whether the object is placed at another target of the group
-    for (const auto *group : { &groups.preferred, &groups.alternate }) {
-        for (const std::string_view id : *group) {
-            TargetState *target = m_targets.find(id);
-            const bool tried
-                    = std::find(request.triedTargets.begin(), request.triedTargets.end(), id)
-                      != request.triedTargets.end();
-            if (target == nullptr || tried || !m_targets.isEligible(*target, now)
-                || !m_targets.isWithinLimit(*target, now))
-                continue;
-            usable.push_back(target);
-            isDisplaced.push_back(id != group->front());
-            break;
-        }
-    }
-    if (usable.size() == 2 && isAlternateFirst(isDisplaced.front(), isDisplaced.back()))
-        std::swap(usable.front(), usable.back());
-    return usable;
-}
-
-Duration Forwarder::expectedRun(const Request &request, const TargetState &target) const
-{
-    const std::string &kind = request.route->name;
-    return target.concurrencyLimiter.expectedRun(
-            kind, m_runTimeEstimator.typicalRun(kind, target.region), m_loop.now());
-}
-
 Time Forwarder::endOfService(Time deadline) const
 {
     return m_shutdown ? std::min(deadline, m_shutdown->endRequestsAt) : deadline;
@@ -228,19 +173,13 @@
         return;
     }
     while (!candidates.empty()) {
-        std::vector<CandidateLoad> loads;
-        loads.reserve(candidates.size());
-        for (const TargetState *candidate : candidates)
-            loads.push_back({ candidate->concurrencyLimiter.expectedWait(request.priority),
-                              expectedRun(request, *candidate) });
-        const TargetDecision decision
-                = chooseCandidate(loads, endOfService(request.softDeadline) - now,
-                                  endOfService(request.deadline) - now);
+        const std::vector<CandidateLoad> loads = expectedLoads(request, candidates);
+        const TargetDecision decision = chooseTarget(request, loads);
         if (!decision.candidate) {
             const bool endsTooSoon = endOfService(request.softDeadline) < request.softDeadline;
             refuse(request, endsTooSoon ? ErrorKind::Leaving : ErrorKind::QueueFull,
                    endsTooSoon ? Duration::zero() : decision.retryAfter,
-                   describeCandidates(candidates, loads));
+                   describeCandidates(request, candidates, loads));
             return;
         }
         TargetState &target = *candidates[*decision.candidate];
@@ -249,7 +188,7 @@
             if (target.concurrencyLimiter.hasCapacity())
                 sendToTarget(request, target);
             else
-                enqueue(request, target);
+                enqueue(request, target, decision.maxWait);
             return;
         }
         candidates.erase(candidates.begin() + static_cast<std::ptrdiff_t>(*decision.candidate));
@@ -257,16 +196,14 @@
     refuse(request, ErrorKind::QueueFull, retryAfter(request, noTargetRetryAfter));
 }
 
-void Forwarder::enqueue(Request &request, TargetState &target)
+void Forwarder::enqueue(Request &request, TargetState &target, Duration maxWait)
 {
     request.targetId = target.registration.id;
     request.isQueued = true;
-    target.concurrencyLimiter.push({ request.id, request.priority });
-    const Duration run = expectedRun(request, target);
+    target.concurrencyLimiter.push({ request.id, queuePriority(request) });
     request.queueTimer
             = std::make_unique<Timer>(m_loop, [this, &request] { handleQueueTimeout(request); });
-    request.queueTimer->startOnce(
-            std::max(Duration::zero(), endOfService(request.softDeadline) - run - m_loop.now()));
+    request.queueTimer->startOnce(std::max(Duration::zero(), maxWait));
 }
 
 // The queue was slower than expected: tries another candidate, or refuses the request.
@@ -293,7 +230,7 @@
         Request &request = *found->second;
         request.isQueued = false;
         const Time end = now + expectedRun(request, target);
-        if (end > endOfService(end))
+        if (end > endOfService(end) || isTooLate(request, end))
             dispatch(request); // refuses it, unless another target is faster
         else
             sendToTarget(request, target);
--- a/src/edge/Forwarder.h
+++ b/src/edge/Forwarder.h
@@ -5,10 +5,13 @@
 #include "decide/QuotaManager.h"
 #include "decide/RetryBudget.h"
 #include "decide/ShutdownSchedule.h"
+#include "decide/placement/PlacedRunTimes.h"
 #include "decide/placement/RunTimeEstimator.h"
+#include "decide/placement/TargetChoice.h"
 #include "edge/ForwardedRequest.h"
 #include "edge/PeerForwarding.h"
 #include "edge/PeerIntake.h"
+#include "edge/PlacementCounters.h"
 #include "edge/TargetTable.h"
 
 #include <functional>
@@ -37,6 +40,10 @@
     static constexpr Duration connectTimeout = milliseconds(400);
     // Maximum number of targets of each placement group that are checked for eligibility.
     static constexpr std::size_t maxCandidatesPerGroup = 3;
+    // Of these, the number that are candidates of a request that is placed by completion: the
+    // object's target and a second one for its overload, or several if there is no object.
+    static constexpr std::size_t objectCandidates = 2;
+    static constexpr std::size_t noObjectCandidates = 4;
 
     Forwarder(EventLoop &loop, const EdgeSettings &settings, const WireNames &names,
               TargetTable &targets);
@@ -104,6 +111,7 @@
     {
         return m_peerForwarding.metricsText() + m_peerIntake.metricsText();
     }
+    std::string placementMetricsText() const { return m_placementCounters.metricsText(); }
     std::size_t openRequests() const { return m_requests.size(); }
 
 private:
@@ -125,12 +133,36 @@
                  const std::string &vm, bool closesConnection);
 
     void dispatch(Request &request);
-    // Returns the eligible target of each placement group, best first.
-    std::vector<TargetState *> eligibleCandidates(const Request &request, Time now);
+    // Returns the eligible target of each placement group, or several if the service is placed by
+    // completion, best first.
+    std::vector<TargetState *> eligibleCandidates(Request &request, Time now);
+    // Whether the targets of a request are chosen by expected completion.
+    bool isPlacedByCompletion(const Request &request) const
+    {
+        return m_targets.reportsSpeed(request.service, m_loop.now());
+    }
+    // Whether a request names an object that is placed at a target.
+    bool hasObject(const Request &request) const;
+    static ObjectPlace objectPlace(const Request &request, const TargetState &target);
     Duration expectedRun(const Request &request, const TargetState &target) const;
+    std::vector<CandidateLoad> expectedLoads(const Request &request,
+                                             const std::vector<TargetState *> &candidates) const;
+    TargetDecision chooseTarget(Request &request, const std::vector<CandidateLoad> &loads);
+    // The priority of a request in the queues of targets. Late requests are behind all others.
+    static int queuePriority(const Request &request);
+    // Whether a request that would end at a time is refused instead of sent.
+    bool isTooLate(const Request &request, Time end) const;
+    // Records a run that ended with a response, and the load that the response reports.
+    void recordRun(const Request &request, TargetState &target, Duration run);
+    // Describes the load of each candidate for the log.
+    std::string describeCandidates(const Request &request,
+                                   const std::vector<TargetState *> &candidates,
+                                   const std::vector<CandidateLoad> &loads) const;
+    // Where a request ran that was placed by completion, as log fields.
+    std::string placementFields(const Request &request);
     // The given deadline of a request, or the end of the shutdown if that is earlier.
     Time endOfService(Time deadline) const;
-    void enqueue(Request &request, TargetState &target);
+    void enqueue(Request &request, TargetState &target, Duration maxWait);
     void sendToTarget(Request &request, TargetState &target);
     void beginExchange(Request &request, ConnectionPool::Lease lease, std::string bytes);
     // Forwards the request through a peer, or refuses it if no peer may take it. Returns false if
@@ -220,6 +252,8 @@
     std::size_t m_fleetVmCount = 1;
     std::optional<ShutdownSchedule> m_shutdown;
     RunTimeEstimator m_runTimeEstimator;
+    PlacedRunTimes m_placedRunTimes; // of services that are placed by completion
+    PlacementCounters m_placementCounters;
     CrashQuarantine m_crashQuarantine;
     std::function<void(const CrashReport &)> m_onCrash;
     std::function<void()> m_onTokensNeeded;
--- a/src/edge/ForwarderResponses.cpp
+++ b/src/edge/ForwarderResponses.cpp
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <cstdio>
 
 namespace basildeck {
@@ -37,24 +36,6 @@
            && (request.isIdempotent() || !promisesNotRun(response.head.status));
 }
 
-// Parses "running,waiting,slots".
-std::optional<LoadReport> parseLoad(const std::string *text)
-{
-    if (text == nullptr)
-        return std::nullopt;
-    LoadReport report;
-    const std::array<int *, 3> numbers = { &report.running, &report.waiting, &report.slots };
-    const char *at = text->data();
-    const char *const end = at + text->size();
-    for (int *number : numbers) {
-        const auto [next, error] = std::from_chars(at, end, *number);
-        if (error != std::errc())
-            return std::nullopt;
-        at = next == end ? next : next + 1;
-    }
-    return report;
-}
-
 // Whether the response that arrives is one that the caller may get.
 bool isTargetResponse(const ForwardedRequest &request)
 {
@@ -229,9 +210,7 @@
     TargetState *target = m_targets.find(request.targetId);
     endAttempt(request, false);
     if (target != nullptr) {
-        target->concurrencyLimiter.answered(request.route->name, runDuration,
-                                            parseLoad(head.fields.find(m_names.serverLoad)), now);
-        m_runTimeEstimator.record(request.route->name, target->region, runDuration);
+        recordRun(request, *target, runDuration);
         if (isSlow(request, *target, runDuration))
             reportTarget(*target, TargetTrouble::Slow);
         target->outlierDetector.recordSuccess();
@@ -256,7 +235,7 @@
                                  << " sends=" << request.attemptCount << " waited_ms="
                                  << toMilliseconds(request.sentAt - request.incoming.receivedAt)
                                  << " ran_ms=" << toMilliseconds(runDuration)
-                                 << peerFields(request);
+                                 << placementFields(request) << peerFields(request);
     finish(request);
     if (target != nullptr)
         sendQueued(*target);
--- a/src/edge/ForwarderTargets.cpp
+++ b/src/edge/ForwarderTargets.cpp
@@ -4,6 +4,7 @@
 
 #include "core/Log.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace basildeck {
@@ -62,9 +63,17 @@
 
 bool Forwarder::isSlow(const Request &request, const TargetState &target, Duration run) const
 {
+    const Time now = m_loop.now();
     // A large response takes its time on the way, and a cold target is slow at first.
-    return !request.response.isStreaming && !m_targets.isCold(target, m_loop.now())
-           && run > m_runTimeEstimator.slowRun(request.route->name, target.region);
+    if (request.response.isStreaming || m_targets.isCold(target, now))
+        return false;
+    const std::string &kind = request.route->name;
+    if (!isPlacedByCompletion(request))
+        return run > m_runTimeEstimator.slowRun(kind, target.region);
+    // A machine of varying speed is not faulty while it reports that it is slow, and a run of an
+    // object that is not warm takes several times the median of all runs.
+    const double factor = std::max(1.0, target.load.factor(now));
+    return toSeconds(run) / factor > toSeconds(m_placedRunTimes.slowRun(kind, target.region, now));
 }
 
 void Forwarder::readNotice(const std::string &targetId, const MessageHead &head, bool isIdentified)
--- a/tests/PlacementTest.cpp
+++ b/tests/PlacementTest.cpp
@@ -66,6 +66,22 @@
     CHECK(placement.localShare("karas") == 1.0);
 }
 
+// Guards against VMs that move the requests for an object to different targets, where it is cold.
+TEST_CASE("the second target of an object is the one to which it moves without the first")
+{
+    Placement all;
+    all.setTargets(targets({ { "a", 6 } }));
+    for (int object = 0; object < 50; ++object) {
+        const auto hash = stableHash("object", std::to_string(object));
+        const auto first = all.candidates(hash, "a", {}, 2).preferred;
+        auto remaining = targets({ { "a", 6 } });
+        std::erase_if(remaining, [&](const PlacementTarget &t) { return t.id == first[0]; });
+        Placement without;
+        without.setTargets(remaining);
+        CHECK(without.candidates(hash, "a", {}, 1).preferred.front() == first[1]);
+    }
+}
+
 TEST_CASE("candidates are in the allowed regions")
 {
     Placement placement;
