Simulate targets of uneven speed, with and without the new choice

Cause: the effect of placing by expected completion on cold runs and on requests within their objective was not shown.

Change: the overload simulation can make 15 in 100 targets slower, others every 0.6 s, let requests leave queues in time, and place by completion.

--- a/tests/OverloadSimulation.cpp
+++ b/tests/OverloadSimulation.cpp
@@ -1,51 +1,16 @@
 #include "OverloadSimulation.h"
 
+#include "OverloadFleet.h"
 #include "core/Hash.h"
-#include "decide/OutlierDetector.h"
 #include "decide/TargetReport.h"
-#include "decide/placement/RunTimeEstimator.h"
-#include "decide/placement/TargetChoice.h"
 
 #include <algorithm>
-#include <list>
 #include <memory>
-#include <set>
 
 namespace basildeck::test {
 
 namespace {
 
-struct SimulatedRequest
-{
-    std::uint64_t id = 0;
-    const LoadKind *kind = nullptr;
-    std::uint64_t object = 0;
-    std::size_t vm = 0;
-    Time arrivedAt;
-    Time sentAt;
-};
-
-struct SimulatedTarget
-{
-    std::string id;
-    std::string region;
-    int running = 0;
-    std::deque<SimulatedRequest> waiting;
-    std::list<std::uint64_t> warm; // most recent first
-    double slowdown = 1;
-};
-
-struct SimulatedVm
-{
-    std::string region;
-    Placement placement;
-    std::map<std::string, std::unique_ptr<ConcurrencyLimiter>> limiters;
-    RunTimeEstimator estimator;
-    std::map<std::string, OutlierDetector> detectors;
-    std::map<std::uint64_t, SimulatedRequest> waiting;
-    std::set<std::uint64_t> running; // requests whose run is watched
-};
-
 class Simulation
 {
 public:
@@ -61,6 +26,8 @@
         const Duration third = m_pattern.simulatedTime / 3;
         at(m_start + third, [this] { setSlowdown(m_pattern.slowdownFactor); });
         at(m_start + 2 * third, [this] { setSlowdown(1); });
+        if (m_pattern.unevenShare > 0)
+            changeUnevenTargets();
     }
 
     LoadResult play()
@@ -72,7 +39,7 @@
             m_events.erase(event);
             action();
         }
-        m_result.maxRegionShift = maxRegionShift();
+        m_result.maxRegionShift = maxRegionShift(m_sentByWindow);
         return m_result;
     }
 
@@ -120,6 +87,16 @@
         }
     }
 
+    void changeUnevenTargets()
+    {
+        for (auto &[id, target] : m_targets)
+            target.uneven = std::bernoulli_distribution(m_pattern.unevenShare)(m_random)
+                                    ? m_pattern.unevenFactor
+                                    : 1;
+        if (m_now < m_start + m_pattern.simulatedTime)
+            at(m_now + m_pattern.unevenPeriod, [this] { changeUnevenTargets(); });
+    }
+
     void scheduleArrival(const LoadKind &kind)
     {
         const std::chrono::duration<double> gap(
@@ -132,11 +109,18 @@
             request.id = ++m_lastId;
             request.kind = &kind;
             request.vm = std::uniform_int_distribution<std::size_t>(0, m_vms.size() - 1)(m_random);
-            const int number = std::uniform_int_distribution<int>(0, kind.objects - 1)(m_random);
-            request.object = stableHash(kind.name, std::to_string(number));
+            request.hasObject = kind.objects > 0;
+            const std::string number
+                    = request.hasObject ? std::to_string(
+                              std::uniform_int_distribution<int>(0, kind.objects - 1)(m_random))
+                                        : std::to_string(request.id);
+            request.object = stableHash(kind.name, number);
             request.arrivedAt = m_now;
-            ++m_result.asked[kind.name];
-            m_result.totalValue += kind.value;
+            request.isCounted = m_now >= m_start + m_pattern.warmUp;
+            if (request.isCounted) {
+                ++m_result.asked[kind.name];
+                m_result.totalValue += kind.value;
+            }
             dispatch(request);
             scheduleArrival(kind);
         });
@@ -144,8 +128,87 @@
 
     void dispatch(const SimulatedRequest &request)
     {
-        m_policy == PlacementPolicy::UnderTest ? dispatchByPlacement(request)
-                                               : dispatchLeastLoaded(request);
+        switch (m_policy) {
+        case PlacementPolicy::UnderTest:
+            dispatchByPlacement(request);
+            break;
+        case PlacementPolicy::LeastLoaded:
+            dispatchLeastLoaded(request);
+            break;
+        case PlacementPolicy::ByCompletion:
+            dispatchByCompletion(request);
+            break;
+        }
+    }
+
+    void dispatchByCompletion(SimulatedRequest request)
+    {
+        SimulatedVm &vm = m_vms[request.vm];
+        const Placement::Candidates groups
+                = vm.placement.candidates(request.object, vm.region, {}, 6);
+        const auto isUsable = [&](std::string_view id) {
+            return !vm.detectors[std::string(id)].isEjected(m_now);
+        };
+        const auto regionOf
+                = [&](std::string_view id) { return m_targets.find(id)->second.region; };
+        request.home = request.hasObject ? std::string(groups.preferred.front()) : std::string();
+        const auto candidates = vm.completion.candidates(groups, request.home, isUsable, regionOf);
+        std::vector<CandidateLoad> loads;
+        for (const CompletionPlacement::Candidate &candidate : candidates)
+            loads.push_back(vm.completion.load(request.kind->name, candidate,
+                                               *vm.limiters.at(candidate.id),
+                                               request.kind->priority, m_now));
+        decide(request, candidates,
+               chooseByCompletion(loads, untilObjective(request), untilDeadline(request)));
+    }
+
+    void decide(const SimulatedRequest &request,
+                const std::vector<CompletionPlacement::Candidate> &candidates,
+                const TargetDecision &decision)
+    {
+        if (!decision.candidate) {
+            countRefused(request);
+            return;
+        }
+        const int late = decision.isLate ? CompletionPlacement::latePriorityOffset : 0;
+        sendOrQueue(request, candidates[*decision.candidate].id, late, decision.maxWait);
+    }
+
+    void sendOrQueue(const SimulatedRequest &request, const std::string &id, int late,
+                     Duration maxWait)
+    {
+        SimulatedVm &vm = m_vms[request.vm];
+        ConcurrencyLimiter &limiter = *vm.limiters.at(id);
+        if (limiter.hasCapacity()) {
+            send(request, id);
+            return;
+        }
+        vm.waiting[request.id] = request;
+        limiter.push({ request.id, request.kind->priority + late });
+        if (m_pattern.hasQueueTimers)
+            at(m_now + maxWait, [this, request, id] {
+                SimulatedVm &vm = m_vms[request.vm];
+                if (!vm.limiters.at(id)->cancel(request.id))
+                    return;
+                vm.waiting.erase(request.id);
+                dispatch(request);
+            });
+    }
+
+    Duration untilObjective(const SimulatedRequest &request) const
+    {
+        return request.arrivedAt + request.kind->objective - m_now;
+    }
+
+    Duration untilDeadline(const SimulatedRequest &request) const
+    {
+        return request.arrivedAt + request.kind->timeout - m_now;
+    }
+
+    void countRefused(const SimulatedRequest &request)
+    {
+        if (request.isCounted)
+            ++m_result.refused[request.kind->name];
     }
 
     void dispatchLeastLoaded(const SimulatedRequest &request)
@@ -189,51 +252,11 @@
             std::swap(loads.front(), loads.back());
         }
         const TargetDecision decision
-                = chooseCandidate(loads, request.kind->objective, request.kind->timeout);
-        if (!decision.candidate) {
-            ++m_result.refused[request.kind->name];
-            return;
-        }
-        const std::string &id = ids[*decision.candidate];
-        ConcurrencyLimiter &limiter = *vm.limiters.at(id);
-        if (limiter.hasCapacity()) {
-            send(request, id);
-            return;
-        }
-        vm.waiting[request.id] = request;
-        limiter.push({ request.id, request.kind->priority });
-    }
-
-    // The shares of a region's requests that ran in each region, by window.
-    double maxRegionShift() const
-    {
-        double largest = 0;
-        for (const auto &[caller, windows] : m_sentByWindow) {
-            const std::map<std::string, int> *before = nullptr;
-            for (const auto &[window, counts] : windows) {
-                if (before != nullptr)
-                    largest = std::max(largest, shareMoved(*before, counts));
-                before = &counts;
-            }
-        }
-        return largest;
-    }
-
-    static double shareMoved(const std::map<std::string, int> &before,
-                             const std::map<std::string, int> &after)
-    {
-        const auto shareOf
-                = [](const std::map<std::string, int> &counts, const std::string &region) {
-                      double all = 0;
-                      for (const auto &[other, count] : counts)
-                          all += count;
-                      const auto found = counts.find(region);
-                      return found == counts.end() ? 0.0 : found->second / all;
-                  };
-        double moved = 0;
-        for (const auto &[region, count] : after)
-            moved += std::max(0.0, shareOf(after, region) - shareOf(before, region));
-        return moved;
+                = chooseCandidate(loads, untilObjective(request), untilDeadline(request));
+        if (!decision.candidate)
+            countRefused(request);
+        else
+            sendOrQueue(request, ids[*decision.candidate], 0, decision.maxWait);
     }
 
     Duration networkDelay(const SimulatedVm &vm, const SimulatedTarget &target) const
@@ -253,13 +276,21 @@
            [this, request, &target] { onArrivalAtTarget(request, target); });
     }
 
+    Duration slowRun(const SimulatedVm &vm, const std::string &kind, const std::string &id) const
+    {
+        const std::string &region = m_targets.at(id).region;
+        return m_policy == PlacementPolicy::ByCompletion
+                       ? vm.completion.slowRun(kind, id, region, m_now)
+                       : vm.estimator.slowRun(kind, region);
+    }
+
     // Finds a run that takes too long while it is going on.
     void watchRun(const SimulatedRequest &request, const std::string &id)
     {
         if (!m_pattern.sharesReports)
             return;
         SimulatedVm &vm = m_vms[request.vm];
-        const Duration slow = vm.estimator.slowRun(request.kind->name, m_targets.at(id).region);
+        const Duration slow = slowRun(vm, request.kind->name, id);
         if (slow == Duration::max())
             return;
         vm.running.insert(request.id);
@@ -293,7 +324,8 @@
             return;
         }
         at(m_now + networkDelay(m_vms[request.vm], target), [this, request, &target] {
-            ++m_result.refused[request.kind->name];
+            countRefused(request);
+            m_result.rejected += request.isCounted ? 1 : 0;
             m_vms[request.vm].limiters.at(target.id)->shed();
             serveQueue(m_vms[request.vm], target.id);
         });
@@ -309,9 +341,15 @@
         target.warm.push_front(request.object);
         if (target.warm.size() > static_cast<std::size_t>(m_pattern.warmObjectLimit))
             target.warm.pop_back();
+        if (request.isCounted) {
+            ++m_result.runs;
+            m_result.coldRuns += part == 1 ? 1 : 0;
+        }
         const double spread = std::normal_distribution<double>(1, 0.15)(m_random);
-        const std::chrono::duration<double> took
-                = request.kind->work * part * target.slowdown * std::clamp(spread, 0.5, 3.0);
+        const std::chrono::duration<double> took = request.kind->work * part * target.slowdown
+                                                   * target.uneven * std::clamp(spread, 0.5, 3.0);
+        if (request.isCounted)
+            m_result.slotTime[target.id] += took.count();
         at(m_now + std::chrono::duration_cast<Duration>(took), [this, request, &target] {
             --target.running;
             if (!target.waiting.empty()) {
@@ -319,8 +357,10 @@
                 target.waiting.pop_front();
                 run(next, target);
             }
-            const LoadReport load{ target.running, static_cast<int>(target.waiting.size()),
-                                   m_pattern.slots };
+            LoadReport load{ target.running, static_cast<int>(target.waiting.size()),
+                             m_pattern.slots };
+            if (m_pattern.unevenShare > 0)
+                load.speedPercent = static_cast<int>(100 * target.uneven);
             at(m_now + networkDelay(m_vms[request.vm], target),
                [this, request, &target, load] { onResponse(request, target.id, load); });
         });
@@ -332,9 +372,15 @@
         vm.running.erase(request.id);
         vm.limiters.at(id)->answered(request.kind->name, m_now - request.sentAt, load, m_now);
         const std::string &region = m_targets.at(id).region;
-        if (m_now - request.sentAt > vm.estimator.slowRun(request.kind->name, region))
+        if (m_now - request.sentAt > slowRun(vm, request.kind->name, id))
             reportSlow(request.vm, id);
         vm.estimator.record(request.kind->name, region, m_now - request.sentAt);
+        vm.completion.record(request.kind->name, { id, region, placeOf(request, id) }, load,
+                             m_now - request.sentAt, m_now);
+        if (!request.isCounted) {
+            serveQueue(vm, id);
+            return;
+        }
         if (m_now - request.arrivedAt <= request.kind->objective) {
             ++m_result.inObjective[request.kind->name];
             m_result.valueInObjective += request.kind->value;
@@ -344,6 +390,13 @@
         serveQueue(vm, id);
     }
 
+    static ObjectPlace placeOf(const SimulatedRequest &request, const std::string &id)
+    {
+        if (!request.hasObject)
+            return ObjectPlace::NoObject;
+        return request.home == id ? ObjectPlace::Placed : ObjectPlace::Elsewhere;
+    }
+
     void serveQueue(SimulatedVm &vm, const std::string &id)
     {
         while (const auto next = vm.limiters.at(id)->pop()) {
@@ -359,11 +412,10 @@
     const Time m_start{};
     Time m_now{};
     std::multimap<Time, std::function<void()>> m_events;
-    std::map<std::string, SimulatedTarget> m_targets;
+    std::map<std::string, SimulatedTarget, std::less<>> m_targets;
     std::vector<SimulatedVm> m_vms;
     LoadResult m_result;
-    // Requests by the caller's region, window and region of the target.
-    std::map<std::string, std::map<std::int64_t, std::map<std::string, int>>> m_sentByWindow;
+    SentByWindow m_sentByWindow;
     std::uint64_t m_lastId = 0;
 };
 
--- a/tests/OverloadSimulation.h
+++ b/tests/OverloadSimulation.h
@@ -23,7 +23,7 @@
     Duration objective{ 0 }; // response time that earns the value
     Duration timeout{ 0 };
     int priority = 0;
-    int objects = 1;
+    int objects = 1; // 0 if requests of the kind have no object
     double value = 1;
 };
 
@@ -47,6 +47,14 @@
     // Whether VMs tell each other about slow targets, and how long that takes.
     bool sharesReports = true;
     Duration reportDelay = milliseconds(300);
+    // Share of the targets, others in each period, whose machines are slower. They report that.
+    double unevenShare = 0;
+    double unevenFactor = 1;
+    Duration unevenPeriod = milliseconds(600);
+    // Whether requests leave the queue of a VM when they can no longer be served in time.
+    bool hasQueueTimers = false;
+    // Requests that arrive earlier are not part of the result.
+    Duration warmUp{ 0 };
 };
 
 struct LoadResult
@@ -61,12 +69,22 @@
     // two successive windows.
     double maxRegionShift = 0;
 
+    int runs = 0;
+    int coldRuns = 0;
+    int rejected = 0;                       // by targets whose queue was full
+    std::map<std::string, double> slotTime; // in seconds, by target
+
     double share() const { return valueInObjective / totalValue; }
+    double coldShare() const { return static_cast<double>(coldRuns) / runs; }
+    double rejectedShare() const { return static_cast<double>(rejected) / (runs + rejected); }
+    // The slot time of the busiest target over the mean of all.
+    double busiestOverMean() const;
 };
 
 // How a request is placed: by the code under test, or by a baseline that picks the target with the
-// fewest requests in flight from its VM and never refuses.
-enum class PlacementPolicy { UnderTest, LeastLoaded };
+// fewest requests in flight from its VM and never refuses. ByCompletion is the code under test for
+// services whose targets report their speed.
+enum class PlacementPolicy { UnderTest, LeastLoaded, ByCompletion };
 
 // Simulates a load pattern in virtual time. Targets serve requests in slots, in order of arrival,
 // are faster for objects that they handled recently, and report their load with each response.
