Name the large VMs in lookups where VMs differ much in their links

Cause: callers choose evenly among the VMs that a lookup names, so a small VM gets as many requests as a large one. Long responses fill its link, and token loans and requests wait behind them.

Change: VMs register their link and processor. A lookup leaves out the VMs of a region with less than a quarter of the largest link if the others have three quarters of the links and a third of the processors, and are at least two (LargeVmSelection). Every lookup of a region names the same VMs, so that callers keep their connections. VMs of an earlier build, which do not register a capacity, make all VMs be named, as before. Deployments whose VMs are alike are served as before.

--- a/src/decide/PeerTable.cpp
+++ b/src/decide/PeerTable.cpp
@@ -190,15 +190,18 @@
 }
 
 std::vector<DirectoryEntry> directoryEntries(const std::optional<DirectoryEntry> &self,
-                                             const std::vector<const Heartbeat *> &reachable)
+                                             const std::vector<const Heartbeat *> &reachable,
+                                             const std::map<std::string, RegisteredVm> &registered)
 {
     std::vector<DirectoryEntry> entries;
     if (self)
         entries.push_back(*self);
     for (const Heartbeat *peer : reachable) {
-        if (!peer->leaving)
-            entries.push_back(
-                    { peer->callerAddress, peer->region, peer->zone, peer->targetContact });
+        if (peer->leaving)
+            continue;
+        const auto vm = registered.find(peer->vm);
+        entries.push_back({ peer->callerAddress, peer->region, peer->zone, peer->targetContact,
+                            vm == registered.end() ? VmCapacity() : vm->second.capacity });
     }
     const bool anyReached
             = std::any_of(entries.begin(), entries.end(), [](const DirectoryEntry &entry) {
@@ -214,14 +217,20 @@
 std::vector<std::string> directoryAddresses(const std::vector<DirectoryEntry> &serving,
                                             const std::string &callerRegion, std::size_t maxCount)
 {
-    std::vector<std::string> inRegion;
-    std::vector<std::string> all;
-    for (const DirectoryEntry &entry : serving) {
-        all.push_back(entry.callerAddress);
-        if (entry.region == callerRegion)
-            inRegion.push_back(entry.callerAddress);
+    std::vector<DirectoryEntry> entries = serving;
+    const auto isElsewhere
+            = [&](const DirectoryEntry &entry) { return entry.region != callerRegion; };
+    if (!std::all_of(entries.begin(), entries.end(), isElsewhere))
+        std::erase_if(entries, isElsewhere);
+    std::vector<VmCapacity> capacities;
+    for (const DirectoryEntry &entry : entries)
+        capacities.push_back(entry.capacity);
+    const std::vector<bool> isNamed = LargeVmSelection::select(capacities);
+    std::vector<std::string> chosen;
+    for (std::size_t i = 0; i < entries.size(); ++i) {
+        if (isNamed[i])
+            chosen.push_back(entries[i].callerAddress);
     }
-    std::vector<std::string> &chosen = inRegion.empty() ? all : inRegion;
     if (chosen.size() > maxCount)
         chosen.resize(maxCount);
     return chosen;
--- a/src/decide/PeerTable.h
+++ b/src/decide/PeerTable.h
@@ -149,15 +149,18 @@
     std::string region;
     std::string zone;
     TargetContact targetContact = TargetContact::Unknown;
+    VmCapacity capacity;
 };
 
 // The VMs that lookups may name: this one, unless it is shutting down, and the reachable ones that
 // are not. Those that reach no target are left out as long as another one does. May be empty.
 std::vector<DirectoryEntry> directoryEntries(const std::optional<DirectoryEntry> &self,
-                                             const std::vector<const Heartbeat *> &reachable);
+                                             const std::vector<const Heartbeat *> &reachable,
+                                             const std::map<std::string, RegisteredVm> &registered
+                                             = {});
 
 // Caller addresses of the VMs that callers of a region are to use: those of their region if it has
-// any, else all.
+// any, else all. Small VMs may be left out (see LargeVmSelection).
 std::vector<std::string> directoryAddresses(const std::vector<DirectoryEntry> &serving,
                                             const std::string &callerRegion, std::size_t maxCount);
 
--- a/src/decide/RegisteredVm.h
+++ b/src/decide/RegisteredVm.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "decide/directory/VmCapacity.h"
+
 #include <cstdint>
 #include <string>
 
@@ -12,6 +14,7 @@
     std::string relayAddress; // for requests of other VMs
     std::string region;
     std::uint64_t memoryBytes = 0; // 0 if unknown
+    VmCapacity capacity;
 };
 
 } // namespace basildeck
--- a/src/edge/EdgeProcess.cpp
+++ b/src/edge/EdgeProcess.cpp
@@ -217,8 +217,9 @@
     std::optional<DirectoryEntry> self;
     if (!m_shutdown)
         self = { m_settings.callerAddress.toString(), m_settings.region, m_settings.zone,
-                 m_partition.contact() };
-    const auto entries = directoryEntries(self, m_peers.reachable(m_loop.now()));
+                 m_partition.contact(), m_settings.capacity };
+    const auto entries
+            = directoryEntries(self, m_peers.reachable(m_loop.now()), m_peers.registeredVms());
     if (entries.empty()) {
         BASILDECK_WARNING(logComponent) << "lookup refused, no serving VM is known";
         sendControlResponse(sink, 503, "text/plain", "no serving VM is known\n");
--- a/src/edge/EdgeSettings.h
+++ b/src/edge/EdgeSettings.h
@@ -2,6 +2,7 @@
 
 #include "basildeck/Time.h"
 #include "config/Address.h"
+#include "decide/directory/VmCapacity.h"
 
 #include <cstdint>
 #include <map>
@@ -38,6 +39,7 @@
     std::uint16_t firstPeerPort = 0; // port range for UDP and TCP traffic between VMs
     std::uint16_t lastPeerPort = 0;
     std::size_t memoryBytes = 0;
+    VmCapacity capacity;
     EdgeBounds bounds;
 
     // The addresses in use from the port range.
--- a/src/edge/FleetView.cpp
+++ b/src/edge/FleetView.cpp
@@ -220,9 +220,12 @@
     for (const auto &[name, object] : m_filters.at(vmKind).objects()) {
         const auto gossip = object.content.find("gossip");
         if (gossip != object.content.end() && gossip->is_string())
-            vms[name] = { gossip->get<std::string>(), textField(object.content, "relay"),
+            vms[name] = { gossip->get<std::string>(),
+                          textField(object.content, "relay"),
                           textField(object.content, "region"),
-                          numberField(object.content, "memory_bytes") };
+                          numberField(object.content, "memory_bytes"),
+                          { numberField(object.content, "link_kbps"),
+                            numberField(object.content, "processor_permille") } };
     }
     m_registration.check(replica(vmKind)->objects());
     m_dependencies.peers.setRegistered(std::move(vms), m_dependencies.loop.now());
--- a/src/edge/VmRegistration.cpp
+++ b/src/edge/VmRegistration.cpp
@@ -27,7 +27,12 @@
                   { "region", settings.region },
                   { "memory_bytes", settings.memoryBytes } })
     , m_client(loop)
-{}
+{
+    if (settings.capacity.isKnown()) {
+        m_content["link_kbps"] = settings.capacity.linkKbps;
+        m_content["processor_permille"] = settings.capacity.processorPermille;
+    }
+}
 
 void VmRegistration::call(const std::string &method, const std::string &path,
                           const std::string &body, Duration callTimeout,
