--- a/src/decide/QuotaManager.cpp
+++ b/src/decide/quota/QuotaManager.cpp
@@ -1,4 +1,4 @@
-#include "decide/QuotaManager.h"
+#include "decide/quota/QuotaManager.h"
 
 #include "core/Hash.h"
 
--- a/src/decide/QuotaManager.h
+++ b/src/decide/quota/QuotaManager.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "decide/BorrowedTokens.h"
 #include "decide/PeerTable.h"
-#include "decide/QuotaHolders.h"
-#include "decide/QuotaShare.h"
+#include "decide/quota/BorrowedTokens.h"
+#include "decide/quota/QuotaHolders.h"
+#include "decide/quota/QuotaShare.h"
 
 #include <cstdint>
 #include <deque>
--- a/src/decide/QuotaShare.cpp
+++ b/src/decide/quota/QuotaShare.cpp
@@ -1,4 +1,4 @@
-#include "decide/QuotaShare.h"
+#include "decide/quota/QuotaShare.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/edge/Forwarder.h
+++ b/src/edge/Forwarder.h
@@ -2,10 +2,10 @@
 
 #include "core/Metrics.h"
 #include "decide/CrashQuarantine.h"
-#include "decide/QuotaManager.h"
 #include "decide/RetryBudget.h"
 #include "decide/RunTimeEstimator.h"
 #include "decide/ShutdownSchedule.h"
+#include "decide/quota/QuotaManager.h"
 #include "edge/ForwardedRequest.h"
 #include "edge/PeerForwarding.h"
 #include "edge/PeerIntake.h"
--- a/tests/QuotaHoldersTest.cpp
+++ b/tests/QuotaHoldersTest.cpp
@@ -1,4 +1,4 @@
-#include "decide/QuotaHolders.h"
+#include "decide/quota/QuotaHolders.h"
 
 #include <doctest/doctest.h>
 
--- a/tests/QuotaSimulation.h
+++ b/tests/QuotaSimulation.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "decide/QuotaManager.h"
+#include "decide/quota/QuotaManager.h"
 
 #include <algorithm>
 #include <cmath>
