Borrow quota tokens in the region again, refill shares after loans

Cause: in fleets of more than 12 VMs a VM that once got no token in its region kept borrowing from the holder of another region that had lent it one. Loans to borrowers never made a holder request more tokens; only requests at the holder itself did. Five in six VMs started with the same holder of their region.

Change: a VM starts with the holders of its region for each loan, spread evenly over them, and passes over one that did not answer. A holder refills its share also after a loan, and borrows as the other VMs do for a request that finds no token there. A holder says when it and the holders that it asked have none; the borrower then does not ask other regions. The two new fields of messages come last and are left out if empty.

Requests of small organisations far above their limit are still refused late.

--- a/src/decide/PeerTable.h
+++ b/src/decide/PeerTable.h
@@ -50,6 +50,9 @@
     std::string gossipAddress;            // of the borrower
     std::uint64_t requestId = 0;          // chosen by the borrower
     std::map<std::string, double> tokens; // by organisation
+    // Organisations of which a request waits at a borrower that is a holder itself. The lender
+    // keeps no reserve from it. Sent last, and only if there are any.
+    std::set<std::string> urgent;
 };
 
 // Response to a QuotaLoanRequest.
@@ -58,6 +61,9 @@
     std::string lender;                   // name of the VM
     std::uint64_t requestId = 0;          // of the request
     std::map<std::string, double> tokens; // by organisation
+    // Organisations of which neither the lender nor the holders that it asked have tokens. Sent
+    // last, and only if there are any.
+    std::set<std::string> exhausted;
 };
 
 // The other VMs of the fleet: those that are registered and those that send heartbeats.
--- a/src/decide/quota/QuotaManager.h
+++ b/src/decide/quota/QuotaManager.h
@@ -68,8 +68,18 @@
     // Time after which a borrower requests the tokens from the next holder instead: more than a
     // round trip between two regions.
     static constexpr Duration answerTimeout = milliseconds(130);
+    // Lower limit of that time for a holder of the region, which otherwise is twice the slowest
+    // recent answer from there. With a fixed short time, VMs with a fraction of a core, which
+    // answer late, would lend several tokens for one request.
+    static constexpr Duration minAnswerTimeout = milliseconds(25);
+    // A holder that did not answer in time is asked again after this time, or when it has answered.
+    static constexpr Duration silenceRetention = seconds(1);
     // Holders in a row without tokens after which a borrower backs off.
     static constexpr int maxRefusals = 3;
+    // A holder without tokens whose interval between requests for tokens exceeds this reports the
+    // organisation as exhausted: its last two requests brought none. Borrowers then do not ask
+    // holders of other regions.
+    static constexpr Duration exhaustedInterval = 2 * requestInterval;
     // Lower limit of the retry delay of a request over the quota.
     static constexpr Duration minRetryAfter = milliseconds(200);
 
@@ -113,24 +123,44 @@
     // Tokens lent and borrowed since the start.
     double lent() const { return m_lent; }
     double borrowed() const { return m_borrowed; }
+    // Requests that waited for a token and that were refused, at once or after waiting.
+    std::uint64_t waited() const { return m_waited; }
+    std::uint64_t refused() const { return m_refused; }
 
 private:
+    using PeerHeartbeats = std::map<std::string, const Heartbeat *>; // by VM
+    // When the next request for tokens may be sent. The interval doubles while requests bring none.
+    struct Backoff
+    {
+        Time nextAt;
+        Duration interval = requestInterval;
+
+        void start(Time now)
+        {
+            nextAt = now + interval;
+            interval = std::min(maxRequestInterval, interval * 2);
+        }
+        void reset() { interval = requestInterval; }
+    };
     struct Entry
     {
         explicit Entry(Time now)
             : share(now)
         {}
         QuotaShare share;
-        bool usesShare = true; // a holder, or a VM that reaches no holder
-        Time nextRequestAt;
-        Duration nextInterval = requestInterval; // doubles while requests bring no tokens
+        bool usesShare = true;      // a holder, or a VM that reaches no holder
+        Backoff replenishing;       // of requests that refill a holder's share
+        double replenishTokens = 0; // requested of each lender by the last one
         std::size_t waiting = 0;
-        // The state of a borrower.
         std::vector<std::string> lenders; // reachable holders, those of the region first
-        std::size_t lender = 0;           // index of the one to try next
-        int refusals = 0;                 // by holders in a row
+        // The state of borrowing for waiting requests.
+        Backoff borrowing;
+        std::size_t lender = 0; // index of the one to try next
+        int refusals = 0;       // by holders in a row
         BorrowedTokens borrowed;
         std::optional<Time> answerDueAt; // of an open request for tokens
+        std::string askedLender;         // by that request
+        std::uint64_t askedRequest = 0;  // number of that request
     };
     struct WaitingRequest
     {
@@ -138,23 +168,37 @@
         std::string organisation;
         Time until;
     };
+    // Whether this VM borrows a token for each request that finds none here: always if it holds
+    // none, and in large fleets also if it holds some.
+    bool borrowsForRequests(const Entry &entry) const
+    {
+        return !entry.usesShare || (!m_holdAll && !entry.lenders.empty());
+    }
+    // Records that a holder's share should be refilled.
+    void noteIfLow(Entry &entry, Time now);
     bool isTokenExpected(const Entry &entry, Time now) const;
     bool tryAcquire(Entry &entry, Time now) const;
     void updateShare(const std::string &organisation, Entry &entry, const QuotaFleet &fleet,
-                     Time now);
+                     const PeerHeartbeats &heartbeats, Time now);
     // The reachable holders of an organisation, those of this VM's region first.
-    std::vector<std::string> reachableHolders(const std::string &organisation) const;
+    std::vector<std::string> reachableHolders(const std::string &organisation,
+                                              const PeerHeartbeats &heartbeats) const;
     void addHolderRequests(const std::string &organisation, Entry &entry, Time now,
                            std::map<std::string, QuotaLoanRequest> &requests);
     void addBorrowerRequest(const std::string &organisation, Entry &entry, Time now,
                             std::map<std::string, QuotaLoanRequest> &requests);
-    // A holder had no tokens.
-    void handleRefusal(Entry &entry, Time now);
+    Duration answerTimeoutOf(const std::string &lender) const;
+    // The next holder to ask for a waiting request, not one that did not answer lately.
+    const std::string &chooseLender(Entry &entry, Time now);
+    // A holder had no tokens, and if exhausted, the holders that it asked had none either.
+    void handleRefusal(Entry &entry, bool isExhausted, Time now);
 
     std::string m_self;
     std::string m_region;
     QuotaHolders m_holders;
-    std::set<std::string> m_reachable; // names of the other VMs that this one reaches
+    std::map<std::string, Time> m_silentUntil;   // holders that did not answer lately
+    Duration m_regionAnswerTime = answerTimeout; // the slowest recent one, decaying
+    bool m_holdAll = true;                       // the fleet is so small that every VM holds tokens
     std::map<std::string, Entry> m_entries;
     std::deque<WaitingRequest> m_waiting; // oldest first
     bool m_isLow = false; // a holder's tokens of an organisation ran low since the last request
@@ -166,6 +210,8 @@
     std::map<std::uint64_t, std::pair<Time, std::set<std::string>>> m_openRequests;
     double m_lent = 0;
     double m_borrowed = 0;
+    std::uint64_t m_waited = 0;
+    std::uint64_t m_refused = 0;
 };
 
 } // namespace basildeck
--- a/src/edge/EdgeProcess.cpp
+++ b/src/edge/EdgeProcess.cpp
@@ -98,7 +98,9 @@
               [&self](Heartbeat &heartbeat) { self.fillHeartbeat(heartbeat); },
               [&self](const Heartbeat &heartbeat) { self.handleHeartbeat(heartbeat); },
               [&self, &quotas](const QuotaLoanRequest &loanRequest) {
-                  return quotas.lend(loanRequest, self.m_loop.now());
+                  QuotaLoan loan = quotas.lend(loanRequest, self.m_loop.now());
+                  self.requestQuotaTokens(); // the loan may have left few tokens here
+                  return loan;
               },
               [&self, &quotas](const QuotaLoan &loan) {
                   quotas.borrow(loan, self.m_loop.now());
@@ -246,6 +248,8 @@
     const QuotaManager &quotas = m_forwarder.quotas();
     add("basildeck_quota_tokens_lent_total", static_cast<std::uint64_t>(quotas.lent()));
     add("basildeck_quota_tokens_borrowed_total", static_cast<std::uint64_t>(quotas.borrowed()));
+    add("basildeck_quota_requests_waited_total", quotas.waited());
+    add("basildeck_quota_requests_refused_total", quotas.refused());
     add("basildeck_targets", m_targets.size());
     add("basildeck_targets_leaving", m_targets.leavingCount());
     add("basildeck_targets_held_off", m_targets.heldOffCount(m_loop.now()));
@@ -326,6 +330,7 @@
     m_targets.setFleet(m_peers.registeredRegions(), now);
     m_forwarder.quotas().setFleet(
             { m_peers.registeredRegions(), m_peers.knownVmCount(), m_peers.reachable(now) }, now);
+    requestQuotaTokens();
     if (now - m_lastReload > reloadPeriod)
         reloadSettings();
     if (m_shutdown)
--- a/src/edge/PeerMessages.cpp
+++ b/src/edge/PeerMessages.cpp
@@ -4,6 +4,7 @@
 
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/map.hpp>
+#include <cereal/types/set.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
 
@@ -120,6 +121,12 @@
                                      : HeartbeatLayout::Current;
 }
 
+// Whether fields follow that not all builds send.
+bool isMoreLeft(std::istream &in)
+{
+    return in.peek() != std::istream::traits_type::eof();
+}
+
 ReceivedHeartbeat readHeartbeat(std::istream &in, cereal::PortableBinaryInputArchive &archive)
 {
     ReceivedHeartbeat received;
@@ -133,7 +140,7 @@
     if (isCurrent)
         archive(heartbeat.targetContact);
     archiveLists(archive, heartbeat);
-    if (in.peek() != std::istream::traits_type::eof())
+    if (isMoreLeft(in))
         archive(heartbeat.targetLimits);
     return received;
 }
@@ -169,12 +176,20 @@
 
 std::string serializeMessage(const QuotaLoanRequest &loanRequest)
 {
-    return serializeWith(MessageType::TokenRequest, [&](auto &archive) { archive(loanRequest); });
+    return serializeWith(MessageType::TokenRequest, [&](auto &archive) {
+        archive(loanRequest);
+        if (!loanRequest.urgent.empty())
+            archive(loanRequest.urgent);
+    });
 }
 
 std::string serializeMessage(const QuotaLoan &loan)
 {
-    return serializeWith(MessageType::TokenLoan, [&](auto &archive) { archive(loan); });
+    return serializeWith(MessageType::TokenLoan, [&](auto &archive) {
+        archive(loan);
+        if (!loan.exhausted.empty())
+            archive(loan.exhausted);
+    });
 }
 
 PeerMessage parseMessage(std::string_view bytes)
@@ -192,11 +207,15 @@
     case MessageType::TokenRequest: {
         QuotaLoanRequest loanRequest;
         archive(loanRequest);
+        if (isMoreLeft(in))
+            archive(loanRequest.urgent);
         return loanRequest;
     }
     case MessageType::TokenLoan: {
         QuotaLoan loan;
         archive(loan);
+        if (isMoreLeft(in))
+            archive(loan.exhausted);
         return loan;
     }
     }
