--- a/src/edge/Forwarder.h
+++ b/src/edge/Forwarder.h
@@ -2,12 +2,12 @@
 
 #include "core/Metrics.h"
 #include "decide/CrashQuarantine.h"
-#include "decide/QuotaManager.h"
 #include "decide/RetryBudget.h"
 #include "decide/ShutdownSchedule.h"
 #include "decide/placement/PlacedRunTimes.h"
 #include "decide/placement/RunTimeEstimator.h"
 #include "decide/placement/TargetChoice.h"
+#include "decide/quota/QuotaManager.h"
 #include "edge/ForwardedRequest.h"
 #include "edge/PeerForwarding.h"
 #include "edge/PeerIntake.h"
