Decide the access to a target at one coordinator for its region

Cause: each VM limits its own concurrency at a target and never to less than one request, so that more VMs than slots overflow its queue, and a more urgent request waits at one VM while another sends a less urgent one.

Heartbeats get the field permitProtocol, which is not sent yet.

--- a/src/decide/ConcurrencyLimiter.h
+++ b/src/decide/ConcurrencyLimiter.h
@@ -2,6 +2,7 @@
 
 #include "basildeck/Time.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -16,6 +17,7 @@
     int running = 0;
     int waiting = 0;
     int slots = 0;
+    std::optional<int> speedPercent;
 };
 
 // Adaptive limit on the requests that this VM has in flight at one target, with a priority queue
@@ -74,6 +76,10 @@
     void ended() { --m_inFlight; }
 
     void setSlots(int slots);
+    // Lowers the limit to the requests in flight. Called for runs with a permit of the target's
+    // coordinator, so that this VM goes on with its share of the slots if it has to decide by
+    // itself.
+    void limitToInFlight() { m_limit = std::clamp<double>(m_inFlight, 1, m_limit); }
     int inFlight() const { return m_inFlight; }
     std::size_t waitingCount() const { return m_waiting.size(); }
     double limit() const { return m_limit; }
--- a/src/decide/PeerTable.cpp
+++ b/src/decide/PeerTable.cpp
@@ -189,6 +189,18 @@
     return peers;
 }
 
+std::vector<std::string> accessCoordinators(const std::vector<const Heartbeat *> &reachable,
+                                            const std::string &region)
+{
+    std::vector<std::string> vms;
+    for (const Heartbeat *peer : reachable) {
+        if (peer->region == region && peer->ready && !peer->leaving && peer->permitProtocol > 0
+            && peer->targetContact != TargetContact::Lost)
+            vms.push_back(peer->vm);
+    }
+    return vms;
+}
+
 std::vector<DirectoryEntry> directoryEntries(const std::optional<DirectoryEntry> &self,
                                              const std::vector<const Heartbeat *> &reachable)
 {
--- a/src/decide/PeerTable.h
+++ b/src/decide/PeerTable.h
@@ -41,6 +41,7 @@
     std::vector<TargetReport> targetReports;      // since the last heartbeat
     std::vector<std::string> introducedAddresses; // gossip addresses of a few other VMs
     std::vector<TargetLimitReport> targetLimits;  // as this VM observed them lately
+    std::uint8_t permitProtocol = 0;              // version of the permit messages, 0 for none
 };
 
 // Requests tokens of quotas from another VM.
@@ -142,6 +143,10 @@
 // for others.
 std::vector<ForwardingPeer> forwardingPeers(const std::vector<const Heartbeat *> &reachable);
 
+// The reachable VMs of a region that may coordinate the access to targets, by name.
+std::vector<std::string> accessCoordinators(const std::vector<const Heartbeat *> &reachable,
+                                            const std::string &region);
+
 // A VM in the directory of entry VMs.
 struct DirectoryEntry
 {
