Exchange permits for targets as datagrams

Change: PermitRequest, PermitReply and PermitRelease follow the three existing datagrams, and permitProtocol is the new last field of heartbeats.

--- a/src/edge/GossipTask.cpp
+++ b/src/edge/GossipTask.cpp
@@ -84,6 +84,11 @@
     send(serializeMessage(loanRequest), gossipAddresses);
 }
 
+void GossipTask::sendAccessMessage(const AccessMessage &message, const std::string &gossipAddress)
+{
+    send(serializeMessage(message), { gossipAddress });
+}
+
 void GossipTask::sendPeriodicHeartbeat()
 {
     m_callbacks.fillDemands(m_ownHeartbeat);
--- a/src/edge/GossipTask.h
+++ b/src/edge/GossipTask.h
@@ -14,7 +14,7 @@
 
 namespace basildeck {
 
-// Exchanges heartbeats and quota token loans with the other VMs by UDP.
+// Exchanges heartbeats, quota token loans and permits for targets with the other VMs by UDP.
 class GossipTask
 {
 public:
@@ -25,6 +25,7 @@
         std::function<void(const Heartbeat &)> onHeartbeat;
         std::function<QuotaLoan(const QuotaLoanRequest &)> onTokenRequest;
         std::function<void(const QuotaLoan &)> onTokenLoan;
+        std::function<void(const AccessMessage &)> onAccessMessage = [](const AccessMessage &) {};
     };
 
     // Returns null if the address cannot be bound.
@@ -37,6 +38,7 @@
     // Requests quota tokens from other VMs.
     void requestTokens(QuotaLoanRequest loanRequest,
                        const std::vector<std::string> &gossipAddresses);
+    void sendAccessMessage(const AccessMessage &message, const std::string &gossipAddress);
 
 private:
     GossipTask(EventLoop &loop, const EdgeSettings &settings, PeerTable &peers, Callbacks callbacks,
@@ -49,6 +51,9 @@
     void handle(const ReceivedHeartbeat &received);
     void handle(const QuotaLoanRequest &loanRequest);
     void handle(const QuotaLoan &loan);
+    void handle(const PermitRequest &request) { m_callbacks.onAccessMessage(request); }
+    void handle(const PermitReply &reply) { m_callbacks.onAccessMessage(reply); }
+    void handle(const PermitRelease &release) { m_callbacks.onAccessMessage(release); }
 
     EventLoop &m_loop;
     PeerTable &m_peers;
--- a/src/edge/PeerMessages.cpp
+++ b/src/edge/PeerMessages.cpp
@@ -4,6 +4,7 @@
 
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/map.hpp>
+#include <cereal/types/optional.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
 
@@ -19,6 +20,9 @@
     Heartbeat,
     TokenRequest,
     TokenLoan,
+    PermitRequest,
+    PermitReply,
+    PermitRelease,
 };
 
 // Prepends a checksum. Lengths in a damaged message could make the archive allocate any amount of
@@ -83,6 +87,33 @@
     archive(loan.lender, loan.requestId, loan.tokens);
 }
 
+template <typename Archive>
+void serialize(Archive &archive, LoadReport &load)
+{
+    archive(load.running, load.waiting, load.slots, load.speedPercent);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, PermitRequest &request)
+{
+    archive(request.vm, request.number, request.target, request.priority, request.organisation,
+            request.mayWaitMs, request.expectedRunMs, request.expiresInMs);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, PermitReply &reply)
+{
+    archive(reply.number, reply.isGranted, reply.retryAfterMs, reply.running, reply.waiting,
+            reply.speedPercent);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, PermitRelease &release)
+{
+    archive(release.vm, release.number, release.target, release.load, release.ranForMs,
+            release.isShed);
+}
+
 namespace {
 
 // The three parts of a heartbeat that all layouts have.
@@ -135,9 +166,34 @@
     archiveLists(archive, heartbeat);
     if (in.peek() != std::istream::traits_type::eof())
         archive(heartbeat.targetLimits);
+    if (in.peek() != std::istream::traits_type::eof())
+        archive(heartbeat.permitProtocol);
     return received;
 }
 
+template <typename Message>
+Message readAs(cereal::PortableBinaryInputArchive &archive)
+{
+    Message message;
+    archive(message);
+    return message;
+}
+
+constexpr MessageType typeOf(const PermitRequest & /*message*/)
+{
+    return MessageType::PermitRequest;
+}
+
+constexpr MessageType typeOf(const PermitReply & /*message*/)
+{
+    return MessageType::PermitReply;
+}
+
+constexpr MessageType typeOf(const PermitRelease & /*message*/)
+{
+    return MessageType::PermitRelease;
+}
+
 template <typename WriteContent>
 std::string serializeWith(MessageType type, const WriteContent &writeContent)
 {
@@ -163,7 +219,7 @@
         if (isCurrent)
             archive(heartbeat.targetContact);
         archiveLists(archive, heartbeat);
-        archive(heartbeat.targetLimits);
+        archive(heartbeat.targetLimits, heartbeat.permitProtocol);
     });
 }
 
@@ -177,6 +233,15 @@
     return serializeWith(MessageType::TokenLoan, [&](auto &archive) { archive(loan); });
 }
 
+std::string serializeMessage(const AccessMessage &message)
+{
+    return std::visit(
+            [](const auto &content) {
+                return serializeWith(typeOf(content), [&](auto &archive) { archive(content); });
+            },
+            message);
+}
+
 PeerMessage parseMessage(std::string_view bytes)
 {
     const auto content = verifiedContent(bytes);
@@ -189,16 +254,16 @@
     switch (type) {
     case MessageType::Heartbeat:
         return readHeartbeat(in, archive);
-    case MessageType::TokenRequest: {
-        QuotaLoanRequest loanRequest;
-        archive(loanRequest);
-        return loanRequest;
-    }
-    case MessageType::TokenLoan: {
-        QuotaLoan loan;
-        archive(loan);
-        return loan;
-    }
+    case MessageType::TokenRequest:
+        return readAs<QuotaLoanRequest>(archive);
+    case MessageType::TokenLoan:
+        return readAs<QuotaLoan>(archive);
+    case MessageType::PermitRequest:
+        return readAs<PermitRequest>(archive);
+    case MessageType::PermitReply:
+        return readAs<PermitReply>(archive);
+    case MessageType::PermitRelease:
+        return readAs<PermitRelease>(archive);
     }
     throw cereal::Exception("unknown message type " + std::to_string(static_cast<int>(type)));
 }
--- a/src/edge/PeerMessages.h
+++ b/src/edge/PeerMessages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decide/PeerTable.h"
+#include "decide/access/AccessMessages.h"
 
 #include <cstddef>
 #include <string>
@@ -28,7 +29,8 @@
     HeartbeatLayout layout = HeartbeatLayout::Current;
 };
 
-using PeerMessage = std::variant<ReceivedHeartbeat, QuotaLoanRequest, QuotaLoan>;
+using PeerMessage = std::variant<ReceivedHeartbeat, QuotaLoanRequest, QuotaLoan, PermitRequest,
+                                 PermitReply, PermitRelease>;
 
 constexpr std::size_t maxDatagramBytes = 32 * 1024;
 
@@ -37,6 +39,7 @@
                              HeartbeatLayout layout = HeartbeatLayout::Current);
 std::string serializeMessage(const QuotaLoanRequest &loanRequest);
 std::string serializeMessage(const QuotaLoan &loan);
+std::string serializeMessage(const AccessMessage &message);
 
 // Parses a datagram. Throws an exception derived from std::exception if it is malformed.
 PeerMessage parseMessage(std::string_view bytes);
--- a/tests/PeerMessagesTest.cpp
+++ b/tests/PeerMessagesTest.cpp
@@ -34,6 +34,15 @@
           "000000000088776655443322110a00000000000000692d37663361393163322900000001000000000000000c"
           "00000000000000692d343363666466303337640101000000000000000f000000000000003132372e302e302e"
           "313a3237353631";
+// Of the last build without permits.
+constexpr const char *heartbeatOf89a18b0
+        = "50b2e9eac1a46ced01000f00000000000000656467652d6b686f6d61732d612d310700000000000000010000"
+          "000000000006000000000000006b686f6d617308000000000000006b686f6d61732d610e0000000000000031"
+          "32372e302e302e313a383338380f000000000000003132372e302e302e313a32373537310f00000000000000"
+          "3132372e302e302e313a32373537320f000000000000003132372e302e302e313a323735373360ea00000100"
+          "0100000000000000000100000000000000070000000000000068756b61323730000000000000294000000000"
+          "000000000000000000000000000000000000000001000000000000000a00000000000000692d376633613931"
+          "63329a9999999999134078000000";
 constexpr const char *loanRequestOfBoth
         = "e3c724e4772df79201010f00000000000000656467652d6b686f6d61732d612d310f00000000000000313237"
           "2e302e302e313a32373537314d000000000000000100000000000000070000000000000068756b6132373000"
@@ -158,6 +167,64 @@
     CHECK(received.targetLimits.front().ageMs == 120);
 }
 
+TEST_CASE("heartbeats of the last build without permits are not exchanged")
+{
+    const std::string bytes = fromHex(heartbeatOf89a18b0);
+    Heartbeat heartbeat = heartbeatIn(bytes, HeartbeatLayout::Current);
+    REQUIRE(heartbeat.targetLimits.size() == 1);
+    CHECK(heartbeat.targetLimits.front().ageMs == 120);
+    CHECK(heartbeat.permitProtocol == 0);
+    heartbeat.permitProtocol = currentPermitProtocol;
+    const std::string own = serializeMessage(heartbeat);
+    CHECK(contentOf(own).starts_with(contentOf(bytes)));
+    CHECK(heartbeatIn(own, HeartbeatLayout::Current).permitProtocol == currentPermitProtocol);
+}
+
+TEST_CASE("permit messages lose fields")
+{
+    const PermitRequest request{ "vm-1", 7, "i-7f3a91c2", 2, "huka270", 450, 720, 3000 };
+    const auto sameRequest
+            = std::get<PermitRequest>(parseMessage(serializeMessage(AccessMessage(request))));
+    CHECK(sameRequest.vm == request.vm);
+    CHECK(sameRequest.number == request.number);
+    CHECK(sameRequest.target == request.target);
+    CHECK(sameRequest.priority == request.priority);
+    CHECK(sameRequest.organisation == request.organisation);
+    CHECK(sameRequest.mayWaitMs == request.mayWaitMs);
+    CHECK(sameRequest.expectedRunMs == request.expectedRunMs);
+    CHECK(sameRequest.expiresInMs == request.expiresInMs);
+    const PermitReply reply{ 7, true, 250, 9, 4, 130 };
+    const auto sameReply
+            = std::get<PermitReply>(parseMessage(serializeMessage(AccessMessage(reply))));
+    CHECK(sameReply.number == reply.number);
+    CHECK(sameReply.isGranted);
+    CHECK(sameReply.retryAfterMs == reply.retryAfterMs);
+    CHECK(sameReply.running == reply.running);
+    CHECK(sameReply.waiting == reply.waiting);
+    CHECK(sameReply.speedPercent == reply.speedPercent);
+    for (const auto speed : { std::optional<int>(), std::optional(130) }) {
+        const PermitRelease release{ "vm-1", 7,   "i-7f3a91c2", LoadReport{ 9, 2, 9, speed },
+                                     810,    true };
+        const auto same
+                = std::get<PermitRelease>(parseMessage(serializeMessage(AccessMessage(release))));
+        CHECK(same.vm == release.vm);
+        CHECK(same.number == release.number);
+        CHECK(same.target == release.target);
+        REQUIRE(same.load);
+        CHECK(same.load->running == 9);
+        CHECK(same.load->waiting == 2);
+        CHECK(same.load->speedPercent == speed);
+        CHECK(same.ranForMs == release.ranForMs);
+        CHECK(same.isShed);
+    }
+    MESSAGE("bytes of request, reply and release: "
+            << serializeMessage(AccessMessage(request)).size() << ", "
+            << serializeMessage(AccessMessage(reply)).size() << ", "
+            << serializeMessage(AccessMessage(PermitRelease{ "vm-1", 7, "i-7f3a91c2",
+                                                             LoadReport{ 9, 2, 9, 130 }, 810 }))
+                       .size());
+}
+
 TEST_CASE("a heartbeat is cut off")
 {
     const std::string content = contentOf(fromHex(heartbeatOf8cf0c60));
