--- a/src/edge/EdgeProcess.cpp
+++ b/src/edge/EdgeProcess.cpp
@@ -104,6 +104,9 @@
                   quotas.borrow(loan, self.m_loop.now());
                   self.m_forwarder.resolveTokenWaits();
                   self.requestQuotaTokens();
+              },
+              [&self](const AccessMessage &message) {
+                  self.m_forwarder.handleAccessMessage(message);
               } });
     if (!self.m_gossip)
         return failure(ErrorKind::InvalidSetting,
@@ -113,6 +116,10 @@
         self.m_targetReports.push_back(report);
         self.announceSoon();
     });
+    self.m_forwarder.setOnAccessMessage(
+            [&self](const std::string &vm, const AccessMessage &message) {
+                self.m_gossip->sendAccessMessage(message, self.m_peers.gossipAddressOf(vm));
+            });
     self.m_targets.setOnLimitChanged([&self] { self.announceSoon(); });
     self.m_forwarder.setOnCrash([&self](const CrashReport &report) { self.recordCrash(report); });
     return process;
@@ -234,7 +241,7 @@
 std::string EdgeProcess::metricsText() const
 {
     std::string text = m_forwarder.metrics().prometheusText() + m_forwarder.peerMetricsText()
-                       + m_partition.metricsText();
+                       + m_partition.metricsText() + m_forwarder.accessMetricsText();
     const auto add = [&](const std::string &name, std::uint64_t value) {
         text += name + " " + std::to_string(value) + "\n";
     };
@@ -273,6 +280,7 @@
             std::chrono::duration_cast<milliseconds>(reachableTime).count());
     heartbeat.leaving = m_shutdown.has_value();
     heartbeat.targetContact = m_partition.contact();
+    heartbeat.permitProtocol = currentPermitProtocol;
     heartbeat.versions = m_view->versions();
     fillTargetReports(heartbeat);
     heartbeat.targetLimits = m_targets.limitReports(now);
@@ -324,6 +332,7 @@
     m_targets.setStoreReachableFromPeers(m_peers.longestStoreContact(now));
     m_targets.setRegionVmCount(m_peers.peerCountInRegion(m_settings.region) + 1);
     m_targets.setFleet(m_peers.registeredRegions(), now);
+    updateAccessVms();
     m_forwarder.quotas().setFleet(
             { m_peers.registeredRegions(), m_peers.knownVmCount(), m_peers.reachable(now) }, now);
     if (now - m_lastReload > reloadPeriod)
@@ -332,6 +341,19 @@
         continueShutdown();
 }
 
+void EdgeProcess::updateAccessVms()
+{
+    const auto heartbeats = m_peers.reachable(m_loop.now());
+    std::vector<std::string> coordinators = accessCoordinators(heartbeats, m_settings.region);
+    if (isReady() && m_partition.contact() != TargetContact::Lost)
+        coordinators.push_back(m_settings.vmName);
+    std::sort(coordinators.begin(), coordinators.end());
+    std::set<std::string> reachable{ m_settings.vmName };
+    for (const Heartbeat *heartbeat : heartbeats)
+        reachable.insert(heartbeat->vm);
+    m_forwarder.setAccessVms(std::move(coordinators), std::move(reachable));
+}
+
 void EdgeProcess::setSettingsLoader(std::function<std::optional<EdgeSettings>()> loadSettings)
 {
     m_loadSettings = std::move(loadSettings);
--- a/src/edge/EdgeProcess.h
+++ b/src/edge/EdgeProcess.h
@@ -78,6 +78,8 @@
     std::string metricsText() const;
 
     void tick();
+    // Tells the forwarder which VMs coordinate the access to targets.
+    void updateAccessVms();
     void fillHeartbeat(Heartbeat &heartbeat);
     // Reports targets in trouble, unless this VM may have lost contact with all of them.
     void fillTargetReports(Heartbeat &heartbeat);
--- a/src/edge/ForwardedRequest.h
+++ b/src/edge/ForwardedRequest.h
@@ -86,11 +86,16 @@
     std::vector<std::string> triedPeers;
     bool staysWithPeers = false; // not to be sent to a target directly
     bool mayHaveRun = false;
-    std::string targetId;           // for which it is queued or to which it was sent
-    bool isWaitingForToken = false; // from its organisation's quota
-    bool isQueued = false;          // in the target's queue
-    bool isInFlight = false;        // sent, or about to be sent on a new connection
-    bool isReadingPaused = false;   // because the caller reads too slowly
+    std::string targetId;            // for which it is queued or to which it was sent
+    bool isWaitingForToken = false;  // from its organisation's quota
+    bool isQueued = false;           // in the target's queue
+    bool isWaitingForPermit = false; // from the target's coordinator
+    std::uint64_t permitNumber = 0;  // of the permit that it waits for or holds, 0 if none
+    std::string localTarget;         // whose coordinator did not reply to it
+    std::vector<std::string> decliningTargets; // whose coordinators declined it
+    Duration declineRetryAfter{ 0 };           // as told by the last of them
+    bool isInFlight = false;                   // sent, or about to be sent on a new connection
+    bool isReadingPaused = false;              // because the caller reads too slowly
     Time sentAt;
     std::unique_ptr<HttpClientConnection> connection;
     bool isConnectionReused = false; // it carried earlier requests
--- a/src/edge/Forwarder.cpp
+++ b/src/edge/Forwarder.cpp
@@ -52,6 +52,10 @@
                        if (m_onTokensNeeded)
                            m_onTokensNeeded();
                    })
+    // The clock does not go back between two processes of a VM.
+    , m_accessClient(settings.vmName,
+                     static_cast<std::uint64_t>(loop.now().time_since_epoch().count()))
+    , m_accessTimer(loop, [this] { pollAccess(); })
     , m_peerForwarding(loop, settings.vmName, settings.region)
 {
     m_targets.setOnUnavailable([this](TargetState &target) { redispatchQueued(target); });
@@ -223,6 +227,8 @@
         return;
     const Time now = m_loop.now();
     std::vector<TargetState *> candidates = eligibleCandidates(request, now);
+    if (refuseDeclined(request, candidates))
+        return;
     if (candidates.empty()) {
         refuse(request, ErrorKind::NoTarget, retryAfter(request, noTargetRetryAfter));
         return;
@@ -231,8 +237,8 @@
         std::vector<CandidateLoad> loads;
         loads.reserve(candidates.size());
         for (const TargetState *candidate : candidates)
-            loads.push_back({ candidate->concurrencyLimiter.expectedWait(request.priority),
-                              expectedRun(request, *candidate) });
+            loads.push_back(
+                    { expectedWait(request, *candidate), expectedRun(request, *candidate) });
         const TargetDecision decision
                 = chooseCandidate(loads, endOfService(request.softDeadline) - now,
                                   endOfService(request.deadline) - now);
@@ -246,6 +252,8 @@
         TargetState &target = *candidates[*decision.candidate];
         if (m_targets.acquireColdPermit(target, now)) {
             target.notice.limit.takePermit(now);
+            if (requestPermit(request, target))
+                return;
             if (target.concurrencyLimiter.hasCapacity())
                 sendToTarget(request, target);
             else
@@ -310,6 +318,7 @@
         found->second->isQueued = false;
         dispatch(*found->second);
     }
+    redispatchWaitingForPermit(target);
 }
 
 void Forwarder::sendToTarget(Request &request, TargetState &target)
@@ -419,6 +428,7 @@
 {
     if (request.isWaitingForToken)
         m_quotas.cancel(request.id);
+    releasePermit(request);
     request.deadlineTimer.reset();
     request.queueTimer.reset();
     request.connectTimer.reset();
--- a/src/edge/Forwarder.h
+++ b/src/edge/Forwarder.h
@@ -6,6 +6,9 @@
 #include "decide/RetryBudget.h"
 #include "decide/RunTimeEstimator.h"
 #include "decide/ShutdownSchedule.h"
+#include "decide/access/AccessClient.h"
+#include "decide/access/AccessCoordinator.h"
+#include "decide/access/CoordinatorSelection.h"
 #include "edge/ForwardedRequest.h"
 #include "edge/PeerForwarding.h"
 #include "edge/PeerIntake.h"
@@ -15,6 +18,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 
@@ -67,6 +71,15 @@
     // Called when requests wait for quota tokens that other VMs could lend.
     void setOnTokensNeeded(std::function<void()> onTokensNeeded);
 
+    // Sets the VMs of this region that may coordinate the access to targets, in ascending order,
+    // and all VMs that are reachable.
+    void setAccessVms(std::vector<std::string> coordinators, std::set<std::string> reachable);
+    // Called with a message about permits and the VM that it is for.
+    void setOnAccessMessage(
+            std::function<void(const std::string &vm, const AccessMessage &message)> send);
+    void handleAccessMessage(const AccessMessage &message);
+    std::string accessMetricsText() const;
+
     // Handles a request. The response may be written before this returns.
     RequestId submit(IncomingRequest incoming);
     // Refuses a request that is invalid, too large or incomplete, and closes its connection.
@@ -148,6 +161,31 @@
     void handlePeerRefusal(Request &request, const ForwardingOutcome &outcome);
     void handlePeerFailure(Request &request, ExchangeFailure failure);
     void handleQueueTimeout(Request &request);
+
+    // Whether the requests to a target need permits of its coordinator.
+    bool usesPermits(const TargetState &target) const;
+    // Time that a request is expected to wait until it can be sent to a target.
+    Duration expectedWait(const Request &request, const TargetState &target) const;
+    // Asks the target's coordinator for a permit. Returns false if the request is to be sent
+    // without one.
+    bool requestPermit(Request &request, TargetState &target);
+    // Removes the targets whose coordinators declined a request from its candidates. Returns true
+    // if it was refused because no others are left.
+    bool refuseDeclined(Request &request, std::vector<TargetState *> &candidates);
+    // Returns the permit of a request, or withdraws its request for one.
+    void releasePermit(Request &request, const std::optional<LoadReport> &load = std::nullopt);
+    // Takes the load from a target's response and returns the permit of the attempt.
+    void recordLoad(Request &request, const std::optional<LoadReport> &load);
+    // Dispatches the requests that wait for permits of a target elsewhere.
+    void redispatchWaitingForPermit(const TargetState &target);
+    // Sends a message to a VM, or handles it soon if the VM is this one.
+    void sendAccessMessage(const std::string &vm, const AccessMessage &message);
+    void sendDecisions(const PermitDecisions &decisions);
+    void handlePermitAnswer(const AccessClient::Answer &answer);
+    // Ends what has expired, as coordinator and as client.
+    void pollAccess();
+    void startAccessTimer();
+
     void sendQueued(TargetState &target);
     void redispatchQueued(TargetState &target);
 
@@ -224,6 +262,12 @@
     std::function<void(const CrashReport &)> m_onCrash;
     std::function<void()> m_onTokensNeeded;
     std::function<void(const TargetReport &)> m_onTargetTrouble;
+    CoordinatorSelection m_coordinatorSelection;
+    AccessClient m_accessClient;
+    AccessCoordinator m_accessCoordinator;
+    Timer m_accessTimer; // active while permits are in use or waited for
+    bool m_isAccessTimerActive = false;
+    std::function<void(const std::string &, const AccessMessage &)> m_onAccessMessage;
     PeerForwarding m_peerForwarding;
     PeerIntake m_peerIntake;
     Metrics m_metrics;
--- a/src/edge/ForwarderPeers.cpp
+++ b/src/edge/ForwarderPeers.cpp
@@ -116,10 +116,11 @@
     if (request.takenFor.empty() && !isForwardable(request))
         return;
     TargetState *target = m_targets.find(request.targetId);
-    if (request.isQueued) {
-        if (target != nullptr)
+    if (request.isQueued || request.isWaitingForPermit) {
+        if (request.isQueued && target != nullptr)
             target->concurrencyLimiter.cancel(request.id);
         request.isQueued = false;
+        releasePermit(request);
         dispatch(request);
         return;
     }
--- a/src/edge/ForwarderResponses.cpp
+++ b/src/edge/ForwarderResponses.cpp
@@ -15,6 +15,7 @@
 
 constexpr const char *logComponent = "forward";
 constexpr Duration defaultRetryAfter = milliseconds(300);
+constexpr int maxSpeedPercent = 10'000;
 
 std::int64_t toMilliseconds(Duration duration)
 {
@@ -37,7 +38,7 @@
            && (request.isIdempotent() || !promisesNotRun(response.head.status));
 }
 
-// Parses "running,waiting,slots".
+// Parses "running,waiting,slots" and, if given, the speed after them.
 std::optional<LoadReport> parseLoad(const std::string *text)
 {
     if (text == nullptr)
@@ -52,6 +53,10 @@
             return std::nullopt;
         at = next == end ? next : next + 1;
     }
+    int speed = 0;
+    const auto [next, error] = std::from_chars(at, end, speed);
+    if (error == std::errc() && next == end && speed > 0 && speed <= maxSpeedPercent)
+        report.speedPercent = speed;
     return report;
 }
 
@@ -185,6 +190,9 @@
     }
     m_targets.partitionDetector().recordEnded(request.targetId, m_loop.now());
     m_crashQuarantine.runFinished(request.fingerprint);
+    recordLoad(request, cancelled
+                                ? std::nullopt
+                                : parseLoad(request.response.head.fields.find(m_names.serverLoad)));
     TargetState *target = m_targets.find(request.targetId);
     if (!request.connection)
         return;
@@ -386,41 +394,6 @@
         sendQueued(*target);
 }
 
-std::vector<Forwarder::RequestId> Forwarder::openRequestIds(bool streaming) const
-{
-    std::vector<RequestId> ids;
-    for (const auto &[id, request] : m_requests) {
-        if (request->response.isStreaming == streaming)
-            ids.push_back(id);
-    }
-    return ids;
-}
-
-void Forwarder::endRequests()
-{
-    for (const RequestId id : openRequestIds(false)) {
-        const auto found = m_requests.find(id);
-        if (found == m_requests.end())
-            continue;
-        Request &request = *found->second;
-        request.mayHaveRun = request.mayHaveRun || request.isInFlight;
-        endAttempt(request, true);
-        refuse(request, request.mayHaveRun ? ErrorKind::UpstreamTimeout : ErrorKind::Leaving,
-               request.mayHaveRun ? Duration::zero() : defaultRetryAfter);
-    }
-}
-
-void Forwarder::truncateResponses()
-{
-    for (const RequestId id : openRequestIds(true)) {
-        const auto found = m_requests.find(id);
-        if (found == m_requests.end())
-            continue;
-        endAttempt(*found->second, true);
-        truncateResponse(*found->second);
-    }
-}
-
 void Forwarder::callerDisconnected(RequestId id)
 {
     const auto found = m_requests.find(id);
--- a/src/edge/TargetTable.h
+++ b/src/edge/TargetTable.h
@@ -85,6 +85,14 @@
     {
         m_onLimitChanged = std::move(onLimitChanged);
     }
+    // A target of a service has reported the speed of its machine.
+    void noteSpeed(const std::string &service) { m_servicesWithSpeed.insert(service); }
+    // Whether the capacity of a service's targets varies from moment to moment, as shown by one of
+    // them having reported a speed.
+    bool reportsSpeed(const std::string &service) const
+    {
+        return m_servicesWithSpeed.contains(service);
+    }
     // Sets the region of each registered VM by its name. They share the rates that targets name.
     void setFleet(std::map<std::string, std::string> vmRegions, Time now);
     // Whether a target that has named a request rate may get one more request from this VM, at
@@ -174,6 +182,7 @@
     std::map<std::string, Placement> m_placements;   // by service, built on demand
     std::set<std::string> m_evacuatedZones;
     std::map<std::string, Service> m_services;
+    std::set<std::string> m_servicesWithSpeed;
     std::size_t m_regionVmCount = 1;
     std::map<std::string, std::string> m_vmRegions;
     std::size_t m_limitedCount = 0;
--- a/tests/EdgeFixture.cpp
+++ b/tests/EdgeFixture.cpp
@@ -208,6 +208,39 @@
     });
 }
 
+void EdgeFixture::usePermits(const std::vector<std::string> &coordinators)
+{
+    runOnLoop([&] {
+        m_targets->noteSpeed("gauge");
+        m_forwarder->setOnAccessMessage(
+                [this](const std::string & /*vm*/, const AccessMessage &message) {
+                    m_accessMessages.push_back(message);
+                });
+        m_forwarder->setAccessVms(coordinators, { coordinators.begin(), coordinators.end() });
+    });
+}
+
+int EdgeFixture::accessMetric(const std::string &name)
+{
+    std::string text;
+    runOnLoop([&] { text = m_forwarder->accessMetricsText(); });
+    const std::size_t at = text.find("basildeck_" + name + " ");
+    REQUIRE(at != std::string::npos);
+    return std::stoi(text.substr(text.find(' ', at)));
+}
+
+std::vector<AccessMessage> EdgeFixture::accessMessages()
+{
+    std::vector<AccessMessage> messages;
+    runOnLoop([&] { messages = m_accessMessages; });
+    return messages;
+}
+
+void EdgeFixture::receive(const AccessMessage &message)
+{
+    runOnLoop([&] { m_forwarder->handleAccessMessage(message); });
+}
+
 std::uint64_t EdgeFixture::submit(IncomingRequest request)
 {
     const std::uint64_t id = m_forwarder->submit(std::move(request));
--- a/tests/EdgeFixture.h
+++ b/tests/EdgeFixture.h
@@ -51,6 +51,12 @@
     // Sets whether another VM grants a loan of one quota token per organisation when the edge
     // requests tokens, in the same loop iteration.
     void setLoansGranted(bool granted);
+    // The targets report their speed, and these VMs coordinate the access to them.
+    void usePermits(const std::vector<std::string> &coordinators);
+    // The value of a metric of the access to targets, and the messages to other VMs.
+    int accessMetric(const std::string &name);
+    std::vector<AccessMessage> accessMessages();
+    void receive(const AccessMessage &message);
     // A request as received by a target.
     struct TargetRequest
     {
@@ -92,6 +98,7 @@
     int m_pipe[2] = { -1, -1 };
     std::function<void()> m_command;
     bool m_loansGranted = false;
+    std::vector<AccessMessage> m_accessMessages;
     std::promise<void> m_commandDone;
     std::thread m_thread;
 };
