Grant all slots of a target whose last report is old

Cause: a target that answers less than once a second was granted half its slots for most of the time. A request that withdrew from the queue for a second permit told the coordinator that the target had rejected it, if its first attempt had been rejected.

Change: half the slots are granted before the first report only, and only an attempt that was sent tells of a rejection.

--- a/src/decide/access/TargetPermits.cpp
+++ b/src/decide/access/TargetPermits.cpp
@@ -35,10 +35,12 @@
 
 std::size_t TargetPermits::capacity(Time now) const
 {
-    const bool isKnown = m_reportedAt && now - *m_reportedAt <= reportLifetime;
+    if (!m_reportedAt)
+        return static_cast<std::size_t>(std::max(1, m_slots / 2));
+    const bool isRecent = now - *m_reportedAt <= reportLifetime;
     // One permit is always available, because the target's load is known from responses only.
     return static_cast<std::size_t>(
-            std::max(1, isKnown ? m_slots - m_unpermitted + m_absent : m_slots / 2));
+            std::max(1, isRecent ? m_slots - m_unpermitted + m_absent : m_slots));
 }
 
 bool TargetPermits::hasFreeSlot(Time now) const
--- a/src/decide/access/TargetPermits.h
+++ b/src/decide/access/TargetPermits.h
@@ -31,8 +31,8 @@
     // Requests that may wait for each slot. The wait for a longer queue exceeds any objective that
     // is a few run times long.
     static constexpr std::size_t waitingPerSlot = 4;
-    // After this time without a report of the target, its load is unknown. Only half the slots are
-    // granted then, as in a VM's own limiter.
+    // An older report tells nothing about the requests without a permit: they have ended, or others
+    // have come. Before the first report only half the slots are granted, as in a VM's own limiter.
     static constexpr Duration reportLifetime = seconds(1);
     // Bounds of the time after which declined requests are to be repeated. A caller that retries
     // before the lower bound finds the same queue.
--- a/src/edge/ForwarderAccess.cpp
+++ b/src/edge/ForwarderAccess.cpp
@@ -106,11 +106,12 @@
 
 void Forwarder::releasePermit(Request &request, const std::optional<LoadReport> &load)
 {
-    request.isWaitingForPermit = false;
+    const bool wasSent = !std::exchange(request.isWaitingForPermit, false);
     const std::uint64_t number = std::exchange(request.permitNumber, 0);
     if (number == 0)
         return;
-    const bool isShed = request.response.notExecuted && !request.response.isMisdirected;
+    // While a request waits for a permit, its response is that of an earlier attempt.
+    const bool isShed = wasSent && request.response.notExecuted && !request.response.isMisdirected;
     const Duration ranFor = load && !isShed ? m_loop.now() - request.sentAt : Duration::zero();
     if (const auto release = m_accessClient.release(number, load, ranFor, isShed))
         sendAccessMessage(release->coordinator, release->message);
--- a/tests/AccessLoadTest.cpp
+++ b/tests/AccessLoadTest.cpp
@@ -20,7 +20,8 @@
                    << result.rejectedInLastThird << "/" << result.sentInLastThird
                    << " served=" << result.servedShare(0) << "," << result.servedShare(1)
                    << " use_in_last_third=" << 3 * result.servedInLastThird / result.capacity
-                   << " unanswered=" << result.unanswered << " datagrams=" << result.datagrams);
+                   << " peak=" << result.peak << " unanswered=" << result.unanswered
+                   << " datagrams=" << result.datagrams);
     // A request that never ends, or a permit that is never returned.
     CHECK(result.open == 0);
     CHECK(result.permitsLeft == 0);
--- a/tests/AccessSimulation.cpp
+++ b/tests/AccessSimulation.cpp
@@ -278,6 +278,8 @@
             m_result.rejectedInLastThird += isLastThird() ? 1 : 0;
             at(m_now + oneWay, [this, id] { finish(id, std::nullopt); });
         }
+        m_result.peak
+                = std::max(m_result.peak, target.running + static_cast<int>(target.waiting.size()));
     }
 
     void start(Target &target, std::uint64_t id)
--- a/tests/AccessSimulation.h
+++ b/tests/AccessSimulation.h
@@ -37,6 +37,7 @@
     int servedInLastThird = 0; // by the time at which they ended
     int sentInLastThird = 0;
     int rejectedInLastThird = 0;
+    int peak = 0;                // of the requests at one target, running or waiting
     int open = 0;                // requests that have not ended when the simulation does
     std::size_t permitsLeft = 0; // when all requests have ended
     std::uint64_t unanswered = 0;
--- a/tests/AccessTest.cpp
+++ b/tests/AccessTest.cpp
@@ -157,6 +157,18 @@
     CHECK(fixture.coordinator.heldCount() == slots);
 }
 
+TEST_CASE("an old report keeps slots from being granted")
+{
+    Fixture fixture;
+    fixture.fill();
+    fixture.release(2, 5);
+    fixture.release(3, 5);
+    CHECK(fixture.ask(4).size() == 1);
+    CHECK(fixture.ask(5).empty());
+    fixture.now += TargetPermits::reportLifetime + milliseconds(1);
+    CHECK(Fixture::granted(fixture.coordinator.tick(fixture.now)) == Numbers{ 5 });
+}
+
 TEST_CASE("requests without a permit do not count")
 {
     Fixture fixture;
--- a/tests/EdgeAccessTest.cpp
+++ b/tests/EdgeAccessTest.cpp
@@ -1,4 +1,4 @@
-#include "EdgeFixture.h"
+#include "TwoEdges.h"
 
 #include <doctest/doctest.h>
 
@@ -55,6 +55,12 @@
         waitUntil([&] { return fixture.accessMetric("permits_waiting") == 0; });
         first.reset();
     }
+    SUBCASE("the target says that it is leaving")
+    {
+        atTarget.socket->send(EdgeFixture::sealedResponse("r1", "one", "Server-Leaving: 1\r\n"));
+        REQUIRE(readResponse(*first));
+        checkNotRun(*second, "no-target");
+    }
     SUBCASE("the deadlines pass")
     {
         CHECK(readResponse(*first)->head.status() == 504);
@@ -86,6 +92,25 @@
     CHECK(fixture.accessMetric("permits_granted_total") == 2);
 }
 
+TEST_CASE("a request taken for another VM is sent without a permit, or keeps it")
+{
+    TwoEdges edges;
+    edges.peer.usePermits({ "vm-2" });
+    auto caller = edges.partitioned.sendAsCaller(EdgeFixture::request("GET", "/safe/1", "r1"));
+    auto atTarget = edges.peer.awaitRequest();
+    CHECK(permitsInUse(edges.peer) == 1);
+    SUBCASE("it is answered")
+    {
+        atTarget.socket->send(EdgeFixture::sealedResponse("r1", "one", loadField));
+        CHECK(completeResponse(*caller).body == "one");
+    }
+    SUBCASE("its caller disconnects")
+    {
+        caller.reset();
+    }
+    waitUntil([&] { return permitsInUse(edges.peer) == 0; });
+}
+
 TEST_CASE("a coordinator's decision is not followed")
 {
     EdgeFixture fixture;
