--- a/tests/GossipTaskTest.cpp
+++ b/tests/GossipTaskTest.cpp
@@ -25,21 +25,23 @@
         settings.vmName = name;
         settings.ip = ip;
         settings.firstPeerPort = standin::freePort(ip);
-        task = GossipTask::make(loop, settings, peers,
-                                { [](Heartbeat &) {},
-                                  [this](Heartbeat &heartbeat) {
-                                      heartbeat.targetContact = contact;
-                                      heartbeat.versions["config"] = { 1, 2 };
-                                  },
-                                  [this](const Heartbeat &) { ++heartbeats; },
-                                  [](const QuotaLoanRequest &) { return QuotaLoan(); },
-                                  [](const QuotaLoan &) {} });
+        task = GossipTask::make(
+                loop, settings, peers,
+                { [](Heartbeat &) {},
+                  [this](Heartbeat &heartbeat) {
+                      heartbeat.targetContact = contact;
+                      heartbeat.versions["config"] = { 1, 2 };
+                  },
+                  [this](const Heartbeat &) { ++heartbeats; },
+                  [](const QuotaLoanRequest &) { return QuotaLoan(); }, [](const QuotaLoan &) {},
+                  [this](const AccessMessage &message) { accessMessages.push_back(message); } });
     }
 
     EdgeSettings settings;
     PeerTable peers;
     TargetContact contact = TargetContact::Unknown;
     int heartbeats = 0;
+    std::vector<AccessMessage> accessMessages;
     std::unique_ptr<GossipTask> task;
 };
 
@@ -101,6 +103,25 @@
     CHECK(peers.front()->targetContact == TargetContact::Lost);
 }
 
+TEST_CASE("messages about permits are not delivered")
+{
+    EventLoop loop;
+    Vm receiver(loop, "vm-1");
+    Vm sender(loop, "vm-2");
+    REQUIRE(receiver.task);
+    REQUIRE(sender.task);
+    const std::string address = receiver.settings.gossipAddress().toString();
+    sender.task->sendAccessMessage(PermitRequest{ "vm-2", 7, "i-1" }, address);
+    sender.task->sendAccessMessage(PermitReply{ 8, true }, address);
+    sender.task->sendAccessMessage(PermitRelease{ "vm-2", 9, "i-1" }, address);
+    for (int i = 0; i < 100000 && receiver.accessMessages.size() < 3; ++i)
+        uv_run(loop.handle(), UV_RUN_NOWAIT);
+    REQUIRE(receiver.accessMessages.size() == 3);
+    CHECK(std::get<PermitRequest>(receiver.accessMessages[0]).number == 7);
+    CHECK(std::get<PermitReply>(receiver.accessMessages[1]).isGranted);
+    CHECK_FALSE(std::get<PermitRelease>(receiver.accessMessages[2]).load);
+}
+
 TEST_CASE("a VM of an earlier build gets heartbeats that it cannot read")
 {
     EventLoop loop;
