Check that permits are returned rather than ended by time

Cause: the tests passed when the forwarder withdrew no request for a permit, because the coordinator ends it after a while.

--- a/tests/EdgeAccessTest.cpp
+++ b/tests/EdgeAccessTest.cpp
@@ -39,6 +39,7 @@
     auto second = fixture.sendAsCaller(EdgeFixture::request("GET", "/safe/2", "r2"));
     waitUntil([&] { return fixture.accessMetric("permits_waiting") == 1; });
     CHECK(fixture.accessMetric("permits_in_use") == 1);
+    int declined = 0;
     SUBCASE("the first request is answered")
     {
         atTarget.socket->send(EdgeFixture::sealedResponse("r1", "one", loadField));
@@ -55,16 +56,21 @@
         waitUntil([&] { return fixture.accessMetric("permits_waiting") == 0; });
         first.reset();
     }
-    SUBCASE("the target says that it is leaving")
+    SUBCASE("the target says that it is leaving, before its response is complete")
     {
-        atTarget.socket->send(EdgeFixture::sealedResponse("r1", "one", "Server-Leaving: 1\r\n"));
-        REQUIRE(readResponse(*first));
+        const std::string response
+                = EdgeFixture::sealedResponse("r1", "one", "Server-Leaving: 1\r\n");
+        atTarget.socket->send(response.substr(0, response.size() - 1));
         checkNotRun(*second, "no-target");
+        CHECK(fixture.accessMetric("permits_in_use") == 1);
+        atTarget.socket->send(response.substr(response.size() - 1));
+        REQUIRE(readResponse(*first));
     }
     SUBCASE("the deadlines pass")
     {
         CHECK(readResponse(*first)->head.status() == 504);
         CHECK(readResponse(*second)->head.status() / 100 == 5);
+        declined = 1;
     }
     SUBCASE("the VM shuts down")
     {
@@ -72,6 +78,9 @@
         CHECK(readResponse(*second)->head.status() == 503);
     }
     waitUntil([&] { return fixture.openRequests() == 0 && permitsInUse(fixture) == 0; });
+    // Permits were returned and waiting requests withdrawn, before they would have ended by time.
+    CHECK(fixture.accessMetric("permits_declined_total") == declined);
+    CHECK(fixture.accessMetric("permits_expired_total") == 0);
 }
 
 TEST_CASE("a request that is sent again keeps its first permit")
@@ -90,6 +99,7 @@
     REQUIRE(readResponse(*caller));
     waitUntil([&] { return permitsInUse(fixture) == 0; });
     CHECK(fixture.accessMetric("permits_granted_total") == 2);
+    CHECK(fixture.accessMetric("permits_expired_total") == 0);
 }
 
 TEST_CASE("a request taken for another VM is sent without a permit, or keeps it")
@@ -109,6 +119,7 @@
         caller.reset();
     }
     waitUntil([&] { return permitsInUse(edges.peer) == 0; });
+    CHECK(edges.peer.accessMetric("permits_expired_total") == 0);
 }
 
 TEST_CASE("a coordinator's decision is not followed")
