--- a/src/decide/ConcurrencyLimiter.h
+++ b/src/decide/ConcurrencyLimiter.h
@@ -2,6 +2,7 @@
 
 #include "basildeck/Time.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -77,6 +78,10 @@
     void ended() { --m_inFlight; }
 
     void setSlots(int slots);
+    // Lowers the limit to the requests in flight. Called for runs with a permit of the target's
+    // coordinator, so that this VM goes on with its share of the slots if it has to decide by
+    // itself.
+    void limitToInFlight() { m_limit = std::clamp<double>(m_inFlight, 1, m_limit); }
     int inFlight() const { return m_inFlight; }
     std::size_t waitingCount() const { return m_waiting.size(); }
     double limit() const { return m_limit; }
--- a/src/edge/Forwarder.cpp
+++ b/src/edge/Forwarder.cpp
@@ -31,6 +31,10 @@
                        if (m_onTokensNeeded)
                            m_onTokensNeeded();
                    })
+    // The clock does not go back between two processes of a VM.
+    , m_accessClient(settings.vmName,
+                     static_cast<std::uint64_t>(loop.now().time_since_epoch().count()))
+    , m_accessTimer(loop, [this] { pollAccess(); })
     , m_peerForwarding(loop, settings.vmName, settings.region)
 {
     m_targets.setOnUnavailable([this](TargetState &target) { redispatchQueued(target); });
@@ -168,6 +172,8 @@
         return;
     const Time now = m_loop.now();
     std::vector<TargetState *> candidates = eligibleCandidates(request, now);
+    if (refuseDeclined(request, candidates))
+        return;
     if (candidates.empty()) {
         refuse(request, ErrorKind::NoTarget, retryAfter(request, noTargetRetryAfter));
         return;
@@ -185,6 +191,8 @@
         TargetState &target = *candidates[*decision.candidate];
         if (m_targets.acquireColdPermit(target, now)) {
             target.notice.limit.takePermit(now);
+            if (requestPermit(request, target, decision.maxWait))
+                return;
             if (target.concurrencyLimiter.hasCapacity())
                 sendToTarget(request, target);
             else
@@ -247,6 +255,7 @@
         found->second->isQueued = false;
         dispatch(*found->second);
     }
+    redispatchWaitingForPermit(target);
 }
 
 void Forwarder::sendToTarget(Request &request, TargetState &target)
@@ -356,6 +365,7 @@
 {
     if (request.isWaitingForToken)
         m_quotas.cancel(request.id);
+    releasePermit(request);
     request.deadlineTimer.reset();
     request.queueTimer.reset();
     request.connectTimer.reset();
--- a/src/edge/ForwarderChoice.cpp
+++ b/src/edge/ForwarderChoice.cpp
@@ -100,11 +100,12 @@
     loads.reserve(candidates.size());
     for (const TargetState *candidate : candidates) {
         const ConcurrencyLimiter &limiter = candidate->concurrencyLimiter;
-        CandidateLoad load{ limiter.expectedWait(request.priority),
-                            expectedRun(request, *candidate) };
+        CandidateLoad load{ expectedWait(request, *candidate), expectedRun(request, *candidate) };
         if (byCompletion) {
             const ObjectPlace place = objectPlace(request, *candidate);
-            load.lateWait = limiter.expectedWait(request.priority + latePriorityOffset);
+            load.lateWait = usesPermits(*candidate)
+                                    ? load.wait
+                                    : limiter.expectedWait(request.priority + latePriorityOffset);
             // Without an object, the order of the groups divides the load by their slots.
             load.isElsewhere = place == ObjectPlace::Elsewhere
                                || (place == ObjectPlace::NoObject
@@ -154,7 +155,6 @@
     m_runTimeEstimator.record(kind, target.region, run);
     if (!load)
         return;
-    m_targets.noteLoad(target, *load, now);
     if (!isPlacedByCompletion(request))
         return;
     const ObjectPlace place = objectPlace(request, target);
--- a/src/edge/PeerMessages.cpp
+++ b/src/edge/PeerMessages.cpp
@@ -4,6 +4,7 @@
 
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/map.hpp>
+#include <cereal/types/optional.hpp>
 #include <cereal/types/set.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
@@ -20,6 +21,9 @@
     Heartbeat,
     TokenRequest,
     TokenLoan,
+    PermitRequest,
+    PermitReply,
+    PermitRelease,
 };
 
 // Prepends a checksum. Lengths in a damaged message could make the archive allocate any amount of
@@ -84,6 +88,33 @@
     archive(loan.lender, loan.requestId, loan.tokens);
 }
 
+template <typename Archive>
+void serialize(Archive &archive, LoadReport &load)
+{
+    archive(load.running, load.waiting, load.slots, load.speedPercent);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, PermitRequest &request)
+{
+    archive(request.vm, request.number, request.target, request.priority, request.organisation,
+            request.mayWaitMs, request.expectedRunMs, request.expiresInMs);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, PermitReply &reply)
+{
+    archive(reply.number, reply.isGranted, reply.retryAfterMs, reply.running, reply.waiting,
+            reply.speedPercent);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, PermitRelease &release)
+{
+    archive(release.vm, release.number, release.target, release.load, release.ranForMs,
+            release.isShed);
+}
+
 namespace {
 
 // The three parts of a heartbeat that all layouts have.
@@ -142,9 +173,34 @@
     archiveLists(archive, heartbeat);
     if (isMoreLeft(in))
         archive(heartbeat.targetLimits);
+    if (in.peek() != std::istream::traits_type::eof())
+        archive(heartbeat.permitProtocol);
     return received;
 }
 
+template <typename Message>
+Message readAs(cereal::PortableBinaryInputArchive &archive)
+{
+    Message message;
+    archive(message);
+    return message;
+}
+
+constexpr MessageType typeOf(const PermitRequest & /*message*/)
+{
+    return MessageType::PermitRequest;
+}
+
+constexpr MessageType typeOf(const PermitReply & /*message*/)
+{
+    return MessageType::PermitReply;
+}
+
+constexpr MessageType typeOf(const PermitRelease & /*message*/)
+{
+    return MessageType::PermitRelease;
+}
+
 template <typename WriteContent>
 std::string serializeWith(MessageType type, const WriteContent &writeContent)
 {
@@ -170,7 +226,7 @@
         if (isCurrent)
             archive(heartbeat.targetContact);
         archiveLists(archive, heartbeat);
-        archive(heartbeat.targetLimits);
+        archive(heartbeat.targetLimits, heartbeat.permitProtocol);
     });
 }
 
@@ -192,6 +248,15 @@
     });
 }
 
+std::string serializeMessage(const AccessMessage &message)
+{
+    return std::visit(
+            [](const auto &content) {
+                return serializeWith(typeOf(content), [&](auto &archive) { archive(content); });
+            },
+            message);
+}
+
 PeerMessage parseMessage(std::string_view bytes)
 {
     const auto content = verifiedContent(bytes);
@@ -218,6 +283,12 @@
             archive(loan.exhausted);
         return loan;
     }
+    case MessageType::PermitRequest:
+        return readAs<PermitRequest>(archive);
+    case MessageType::PermitReply:
+        return readAs<PermitReply>(archive);
+    case MessageType::PermitRelease:
+        return readAs<PermitRelease>(archive);
     }
     throw cereal::Exception("unknown message type " + std::to_string(static_cast<int>(type)));
 }
