Bound the memory for request bodies and send them from one place

Cause: only bodies that were being read were counted. A complete body was kept until the response, and existed up to three times: in the request, in the text that was serialized for the attempt, and in the output of the connection.

A MemoryBudget now counts what a VM holds. A body with a length is admitted as a whole or not read; it waits for at most 2 s and is then refused as not run, with Retry-After. Long bodies are admitted in order and leave an eighth of the budget to short ones. The head of an attempt is serialized without the body, which connections send from where the request holds it; it is released when the last attempt was sent. Blocks from 256 KiB are returned to the system when they are freed.

Tests changed: EdgeFixture and CallerConnectionTest pass a MemoryBudget instead of a number of bytes; no check changed.

--- a/src/core/EventLoop.cpp
+++ b/src/core/EventLoop.cpp
@@ -131,10 +131,11 @@
     ReadyCallback function;
     bool readInterest = false;
     bool writeInterest = false;
+    bool closeInterest = false;
 };
 
 DescriptorWatcher::DescriptorWatcher(EventLoop &loop, int descriptor, ReadyCallback callback)
-    : m_handle(new Handle{ {}, std::move(callback), false, false })
+    : m_handle(new Handle{ {}, std::move(callback), false, false, false })
 {
     CHECK_EQ(uv_poll_init(loop.handle(), &m_handle->uv, descriptor), 0);
     m_handle->uv.data = m_handle;
@@ -145,24 +146,27 @@
     closeAndDelete(m_handle);
 }
 
-void DescriptorWatcher::setInterest(bool read, bool write)
+void DescriptorWatcher::setInterest(bool read, bool write, bool close)
 {
-    if (read == m_handle->readInterest && write == m_handle->writeInterest)
+    if (read == m_handle->readInterest && write == m_handle->writeInterest
+        && close == m_handle->closeInterest)
         return;
     m_handle->readInterest = read;
     m_handle->writeInterest = write;
-    if (!read && !write) {
+    m_handle->closeInterest = close;
+    if (!read && !write && !close) {
         uv_poll_stop(&m_handle->uv);
         return;
     }
-    const int events = (read ? UV_READABLE : 0) | (write ? UV_WRITABLE : 0);
+    const int events
+            = (read ? UV_READABLE : 0) | (write ? UV_WRITABLE : 0) | (close ? UV_DISCONNECT : 0);
     uv_poll_start(&m_handle->uv, events, [](uv_poll_t *poll, int status, int readyEvents) {
         auto *handle = static_cast<Handle *>(poll->data);
         // libuv stops polling after it reports an error. Data received before the error can still
         // be read, so clear the interest: the next setInterest() then restarts polling.
         if (status < 0)
-            handle->readInterest = handle->writeInterest = false;
-        const bool readable = status < 0 || (readyEvents & UV_READABLE) != 0;
+            handle->readInterest = handle->writeInterest = handle->closeInterest = false;
+        const bool readable = status < 0 || (readyEvents & (UV_READABLE | UV_DISCONNECT)) != 0;
         handle->function(readable, (readyEvents & UV_WRITABLE) != 0);
     });
 }
--- a/src/core/EventLoop.h
+++ b/src/core/EventLoop.h
@@ -90,8 +90,9 @@
     DescriptorWatcher(const DescriptorWatcher &) = delete;
     DescriptorWatcher &operator=(const DescriptorWatcher &) = delete;
 
-    // Sets which events are reported. With neither, polling stops.
-    void setInterest(bool read, bool write);
+    // Sets which events are reported. With none, polling stops. The close by the peer, after which
+    // it sends nothing more, is reported as readable.
+    void setInterest(bool read, bool write, bool close = false);
 
 private:
     struct Handle;
--- a/src/edge/CallerConnection.cpp
+++ b/src/edge/CallerConnection.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr const char *logComponent = "caller";
+constexpr std::string_view continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
 } // namespace
 
@@ -53,6 +54,7 @@
     }
     m_acceptsInput = false;
     m_input.clear();
+    dropBody();
     m_pendingResponses.back().closesConnection = true;
 }
 
@@ -73,9 +75,13 @@
 
 void CallerConnection::parseInput()
 {
-    while (m_acceptsInput && !m_input.empty() && m_pendingResponses.size() < maxPipelinedRequests) {
-        const std::size_t consumed = m_parser.feed(m_input);
-        m_input.erase(0, consumed);
+    while (m_acceptsInput && (!m_input.empty() || m_parser.isComplete())
+           && m_pendingResponses.size() < maxPipelinedRequests) {
+        // A complete request may have waited for memory.
+        if (!m_parser.isComplete()) {
+            const std::size_t consumed = m_parser.feed(m_input);
+            m_input.erase(0, consumed);
+        }
         if (!m_acceptsInput)
             return;
         if (m_parser.parseError() != HttpParser::ParseError::None) {
@@ -84,45 +90,113 @@
                                 : ErrorKind::BadRequest);
             return;
         }
-        if (!m_parser.isComplete())
+        if (!m_parser.isComplete() || m_memoryWait)
             return;
         m_parser.reset();
         m_messageStart = m_lastInput;
         submitRequest();
     }
-    // Stops reading at the pipelining limit, so further input stays in the kernel's buffer.
-    m_stream->setReading(m_pendingResponses.size() < maxPipelinedRequests || !m_acceptsInput);
+    updateReading();
+}
+
+void CallerConnection::updateReading()
+{
+    // Input beyond the pipelining limit, or for which there is no memory, stays in the kernel's
+    // buffer.
+    const bool mayRead = m_pendingResponses.size() < maxPipelinedRequests && !m_memoryWait;
+    m_stream->setReading(mayRead || !m_acceptsInput);
 }
 
 void CallerConnection::handleHead(MessageHead head)
 {
     m_incoming = {};
+    m_incomingBody.clear();
+    m_bodyCharge = m_context.memory.charge(MemoryUse::RequestBody);
     m_incoming.receivedAt = m_lastInput;
     if (head.contentLength.value_or(0) > m_context.limits.maxBodyBytes) {
         refuseInput(ErrorKind::BodyTooLarge);
         return;
     }
     const std::string *expect = head.fields.find("expect");
-    if (expect != nullptr && head.hasBody && m_pendingResponses.empty())
-        m_stream->write("HTTP/1.1 100 Continue\r\n\r\n");
+    m_expectsContinue = expect != nullptr && head.hasBody && m_pendingResponses.empty();
+    const auto bodySize = static_cast<std::size_t>(head.contentLength.value_or(0));
     m_incoming.head = std::move(head);
+    if (bodySize > 0)
+        requestMemory(bodySize);
+    if (m_expectsContinue && !m_memoryWait)
+        m_stream->write(continueResponse);
 }
 
 void CallerConnection::handleBody(std::string_view bytes)
 {
     if (!m_acceptsInput)
         return;
-    if (m_incoming.body.size() + bytes.size() > m_context.limits.maxBodyBytes) {
+    const std::size_t size = m_incomingBody.size() + bytes.size();
+    if (size > m_context.limits.maxBodyBytes) {
         refuseInput(ErrorKind::BodyTooLarge);
         return;
     }
-    if (m_context.bufferedBodyBytes + bytes.size() > m_context.maxBufferedBodyBytes) {
-        refuseInput(ErrorKind::QueueFull);
+    // What has arrived with the head or before a pause is kept even without free memory.
+    if (!m_memoryWait && size > m_bodyCharge.bytes())
+        requestMemory(size);
+    m_incomingBody.append(bytes);
+}
+
+void CallerConnection::requestMemory(std::size_t bytes)
+{
+    if (m_context.memory.admitsBody(m_bodyCharge, bytes)) {
+        m_bodyCharge.set(bytes);
+        // The pages of a reserved string take no memory before they are written, and one that grows
+        // would exist twice while it is copied.
+        m_incomingBody.reserve(bytes);
         return;
     }
-    m_context.bufferedBodyBytes += bytes.size();
-    m_incomingBodyBytes += bytes.size();
-    m_incoming.body.append(bytes);
+    const MemoryBudget &memory = m_context.memory;
+    BASILDECK_INFO(logComponent) << "body waits for memory bytes=" << bytes
+                                 << " held=" << memory.held() << " budget=" << memory.limit();
+    m_memoryWait = { m_context.memory.beginWait(bytes), bytes,
+                     m_context.loop.now() + MemoryBudget::maxBodyWait };
+    updateReading();
+    if (++m_context.memoryWaits == 1 && m_context.onMemoryWait)
+        m_context.onMemoryWait();
+}
+
+void CallerConnection::dropBody()
+{
+    endMemoryWait();
+    m_incomingBody = {};
+    m_bodyCharge.set(0);
+}
+
+void CallerConnection::endMemoryWait()
+{
+    if (!m_memoryWait)
+        return;
+    m_context.memory.endWait(m_memoryWait->id);
+    m_memoryWait.reset();
+    --m_context.memoryWaits;
+}
+
+void CallerConnection::checkMemoryWait(Time now)
+{
+    if (!m_memoryWait || m_isClosed)
+        return;
+    const std::size_t bytes = std::max(m_memoryWait->bytes, m_incomingBody.size());
+    if (m_context.memory.admitsBody(m_bodyCharge, bytes, m_memoryWait->id)) {
+        endMemoryWait();
+        m_bodyCharge.set(bytes);
+        m_incomingBody.reserve(bytes);
+        if (std::exchange(m_expectsContinue, false))
+            m_stream->write(continueResponse);
+        parseInput();
+        updateReading();
+    } else if (now >= m_memoryWait->until) {
+        const MemoryBudget &memory = m_context.memory;
+        BASILDECK_INFO(logComponent) << "refused a body for lack of memory bytes=" << bytes
+                                     << " held=" << memory.held() << " budget=" << memory.limit();
+        m_context.memory.countRefusal();
+        refuseInput(ErrorKind::QueueFull);
+    }
 }
 
 CallerConnection::PendingResponse &CallerConnection::addPending()
@@ -134,7 +208,6 @@
 
 void CallerConnection::submitRequest()
 {
-    m_context.bufferedBodyBytes -= std::exchange(m_incomingBodyBytes, 0);
     PendingResponse &pending = addPending();
     const std::uint64_t id = pending.id;
     if (!m_incoming.head.keepAlive)
@@ -143,6 +216,7 @@
     m_incoming.sink = makeSink(id);
     m_incoming.connectedAt = m_connectedAt;
     m_incoming.receivedAt = m_messageStart;
+    m_incoming.body = { std::exchange(m_incomingBody, {}), std::move(m_bodyCharge) };
     const auto request = m_context.handler.submit(std::move(m_incoming));
     m_incoming = {};
     if (PendingResponse *open = findPending(id))
@@ -153,6 +227,7 @@
 {
     m_acceptsInput = false;
     m_input.clear();
+    dropBody();
     m_context.handler.refuseUnreadable(makeSink(addPending().id), kind);
 }
 
@@ -241,7 +316,7 @@
                 parseInput();
         });
     else
-        m_stream->setReading(true);
+        updateReading();
 }
 
 void CallerConnection::abortResponse()
@@ -256,6 +331,7 @@
 {
     m_acceptsInput = false;
     m_input.clear();
+    dropBody();
     const auto pending = std::exchange(m_pendingResponses, {});
     for (const PendingResponse &response : pending) {
         if (response.request != 0 && !response.isDone)
@@ -275,7 +351,7 @@
     if (m_stream->pendingOutput() > 0)
         BASILDECK_INFO(logComponent)
                 << "connection closed with unsent output bytes=" << m_stream->pendingOutput();
-    m_context.bufferedBodyBytes -= std::exchange(m_incomingBodyBytes, 0);
+    dropBody();
     m_stream->close();
     const auto pending = std::exchange(m_pendingResponses, {});
     for (const PendingResponse &response : pending) {
@@ -287,7 +363,7 @@
 
 void CallerConnection::tick(Time now)
 {
-    if (m_isClosed)
+    if (m_isClosed || m_memoryWait)
         return;
     if (m_isLingering) {
         if (now >= m_lingerUntil && m_stream->pendingOutput() == 0)
--- a/src/edge/CallerConnection.h
+++ b/src/edge/CallerConnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "config/FleetConfig.h"
+#include "decide/memory/MemoryBudget.h"
 #include "edge/ForwardedRequest.h"
 #include "edge/HttpParser.h"
 #include "edge/TcpStream.h"
@@ -9,6 +10,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace basildeck {
@@ -36,9 +38,11 @@
     EventLoop &loop;
     RequestHandler handler;
     CallerLimits limits;
-    bool closeAfterResponse = false;      // close connections after their responses
-    std::size_t bufferedBodyBytes = 0;    // of requests being read
-    std::size_t maxBufferedBodyBytes = 0; // limit on bufferedBodyBytes
+    MemoryBudget &memory;
+    bool closeAfterResponse = false; // close connections after their responses
+    std::size_t memoryWaits = 0;     // connections whose body waits for memory
+    // Called when the first connection waits. checkMemoryWait() is to be called until none does.
+    std::function<void()> onMemoryWait = {};
 };
 
 // The server side of an HTTP/1.1 connection. Reads requests, which may be pipelined, and writes the
@@ -60,6 +64,8 @@
     // that arrives meanwhile, so the caller cannot take a request in that input for an accepted
     // one.
     void tick(Time now);
+    // Continues to read a body that waits for memory, or refuses it when it has waited too long.
+    void checkMemoryWait(Time now);
     // Reads no further requests if some are pending, and closes once those are answered. Without a
     // pending request, or behind a response that has begun without telling of the close, a request
     // that is in transit is still read, and answered by the handler; the connection closes after
@@ -83,6 +89,12 @@
     void parseInput();
     void handleHead(MessageHead head);
     void handleBody(std::string_view bytes);
+    // Pauses reading until a body may take this many bytes. It takes them at once if it may.
+    void requestMemory(std::size_t bytes);
+    // Releases the body that is being read.
+    void dropBody();
+    void endMemoryWait();
+    void updateReading();
     void submitRequest();
     void refuseInput(ErrorKind kind);
 
@@ -104,7 +116,17 @@
     std::function<void()> m_onClosed;
     std::string m_input; // not yet parsed
     IncomingRequest m_incoming;
-    std::size_t m_incomingBodyBytes = 0;
+    std::string m_incomingBody;
+    MemoryCharge m_bodyCharge;
+    // A body that may not be read on until memory is free.
+    struct MemoryWait
+    {
+        MemoryBudget::WaitId id = 0;
+        std::size_t bytes = 0; // that the body needs
+        Time until{};
+    };
+    std::optional<MemoryWait> m_memoryWait;
+    bool m_expectsContinue = false; // the caller sends the body when told to
     std::deque<PendingResponse> m_pendingResponses;
     std::uint64_t m_nextId = 1;
     Time m_connectedAt;
--- a/src/edge/EdgeProcess.cpp
+++ b/src/edge/EdgeProcess.cpp
@@ -3,6 +3,7 @@
 #include "core/Log.h"
 
 #include <http_parser.h>
+#include <malloc.h>
 
 #include <algorithm>
 #include <csignal>
@@ -15,8 +16,9 @@
 constexpr const char *logComponent = "edge";
 constexpr std::size_t maxLookupAddresses = 64;
 constexpr std::size_t maxControlBodyBytes = 64 * 1024;
-// The request bodies being read may use this fraction of the memory.
-constexpr std::size_t bodyMemoryDivisor = 4;
+// Blocks from this size are returned to the system when they are freed. Without a setting, the C
+// library raises the size with the blocks that are freed, and keeps that much free memory.
+constexpr int minMappedBlockBytes = 256 * 1024;
 // How long a crash report is repeated in heartbeats, to tolerate lost datagrams.
 constexpr Duration crashRepeatTime = seconds(2);
 // Upper limit of the time of uninterrupted store access that heartbeats report.
@@ -39,6 +41,7 @@
     , m_targets(m_loop, m_settings)
     , m_forwarder(m_loop, m_settings, m_format.names, m_targets)
     , m_peers(settings.vmName)
+    , m_controlMemory(maxControlBodyBytes)
     , m_partition(m_loop, m_settings, m_targets, m_forwarder, m_peers, [this] { announceSoon(); })
     , m_timer(m_loop, [this] { tick(); })
     , m_shutdownTimer(m_loop, [this] { continueShutdown(); })
@@ -57,6 +60,7 @@
                                                        std::uint16_t metricsPort)
 {
     std::signal(SIGPIPE, SIG_IGN);
+    mallopt(M_MMAP_THRESHOLD, minMappedBlockBytes);
     std::unique_ptr<EdgeProcess> process(new EdgeProcess(settings, format));
     EdgeProcess &self = *process;
     self.m_view = std::make_unique<FleetView>(
@@ -75,9 +79,8 @@
         [&self](std::uint64_t id) { self.m_forwarder.callerOutputDrained(id); },
         [&self](std::uint64_t id) { self.m_forwarder.responseIsNext(id); },
     };
-    self.m_callerServer = BOOST_OUTCOME_TRYX(
-            EdgeServer::make(self.m_loop, settings.callerAddress, callerHandler,
-                             settings.memoryBytes / bodyMemoryDivisor));
+    self.m_callerServer = BOOST_OUTCOME_TRYX(EdgeServer::make(
+            self.m_loop, settings.callerAddress, callerHandler, self.m_forwarder.memory()));
     self.m_peerServer = BOOST_OUTCOME_TRYX(self.makePeerServer());
     for (const Address &listenAddress :
          { settings.readyAddress, settings.lookupAddress, settings.relayAddress() }) {
@@ -130,7 +133,7 @@
                               [this](std::uint64_t id) { m_forwarder.callerDisconnected(id); },
                               [this](std::uint64_t id) { m_forwarder.callerOutputDrained(id); },
                               [this](std::uint64_t id) { m_forwarder.responseIsNext(id); } },
-                            m_settings.memoryBytes / bodyMemoryDivisor / 2);
+                            m_forwarder.memory());
 }
 
 void EdgeProcess::setLimits(const CallerLimits &limits)
@@ -151,7 +154,7 @@
                   m_forwarder.refuseUnreadable(sink, kind);
               },
               [this](std::uint64_t id) { m_view->relay().cancel(id); }, [](std::uint64_t) {} },
-            maxControlBodyBytes);
+            m_controlMemory);
 }
 
 void EdgeProcess::announceSoon()
@@ -234,7 +237,7 @@
 std::string EdgeProcess::metricsText() const
 {
     std::string text = m_forwarder.metrics().prometheusText() + m_forwarder.peerMetricsText()
-                       + m_partition.metricsText();
+                       + m_partition.metricsText() + m_forwarder.memory().metricsText();
     const auto add = [&](const std::string &name, std::uint64_t value) {
         text += name + " " + std::to_string(value) + "\n";
     };
@@ -317,6 +320,7 @@
 {
     const Time now = m_loop.now();
     m_targets.tick(now);
+    m_forwarder.memory().tick(now);
     m_forwarder.findSlowTargets();
     m_peers.tick(now);
     m_partition.tick();
--- a/src/edge/EdgeProcess.h
+++ b/src/edge/EdgeProcess.h
@@ -96,6 +96,7 @@
     TargetTable m_targets;
     Forwarder m_forwarder;
     PeerTable m_peers;
+    MemoryBudget m_controlMemory; // for the bodies of requests to the control servers
     PartitionTask m_partition;
     std::unique_ptr<FleetView> m_view;
     std::unique_ptr<GossipTask> m_gossip;
--- a/src/edge/EdgeServer.cpp
+++ b/src/edge/EdgeServer.cpp
@@ -5,21 +5,21 @@
 
 namespace basildeck {
 
-EdgeServer::EdgeServer(EventLoop &loop, RequestHandler handler, std::size_t maxBufferedBodyBytes)
-    : m_context{ loop, std::move(handler), {}, false, 0, maxBufferedBodyBytes }
+EdgeServer::EdgeServer(EventLoop &loop, RequestHandler handler, MemoryBudget &memory)
+    : m_context{ loop, std::move(handler), {}, memory, false, 0, {} }
     , m_timer(loop, [this] { tick(); })
+    , m_memoryTimer(loop, [this] { checkMemoryWaits(); })
 {
+    m_context.onMemoryWait = [this] { m_memoryTimer.startRepeating(memoryCheckPeriod); };
     m_timer.startRepeating(tickPeriod);
 }
 
 EdgeServer::~EdgeServer() = default;
 
 Result<std::unique_ptr<EdgeServer>> EdgeServer::make(EventLoop &loop, const Address &address,
-                                                     RequestHandler handler,
-                                                     std::size_t maxBufferedBodyBytes)
+                                                     RequestHandler handler, MemoryBudget &memory)
 {
-    std::unique_ptr<EdgeServer> server(
-            new EdgeServer(loop, std::move(handler), maxBufferedBodyBytes));
+    std::unique_ptr<EdgeServer> server(new EdgeServer(loop, std::move(handler), memory));
     EdgeServer *self = server.get();
     BOOST_OUTCOME_TRY(listener,
                       TcpListener::make(loop, address, [self](int fd) { self->accept(fd); }));
@@ -46,6 +46,15 @@
         connection->tick(now);
 }
 
+void EdgeServer::checkMemoryWaits()
+{
+    const Time now = m_context.loop.now();
+    for (CallerConnection *connection : openConnections())
+        connection->checkMemoryWait(now);
+    if (m_context.memoryWaits == 0)
+        m_memoryTimer.stop();
+}
+
 std::vector<CallerConnection *> EdgeServer::openConnections() const
 {
     std::vector<CallerConnection *> connections;
--- a/src/edge/ForwardedRequest.cpp
+++ b/src/edge/ForwardedRequest.cpp
@@ -74,8 +74,7 @@
 
 } // namespace
 
-std::string serializeTargetRequest(const ForwardedRequest &request, const WireNames &names,
-                                   Time now)
+std::string serializeTargetHead(const ForwardedRequest &request, const WireNames &names, Time now)
 {
     const MessageHead &head = request.incoming.head;
     const auto left = std::chrono::duration_cast<milliseconds>(request.deadline - now).count();
@@ -89,12 +88,11 @@
     if (head.contentLength || head.chunked)
         addField(text, "Content-Length", std::to_string(request.incoming.body.size()));
     text += "\r\n";
-    text += request.incoming.body;
     return text;
 }
 
-std::string serializePeerRequest(const ForwardedRequest &request, const WireNames &names,
-                                 const ForwardingTerms &terms)
+std::string serializePeerHead(const ForwardedRequest &request, const WireNames &names,
+                              const ForwardingTerms &terms)
 {
     const MessageHead &head = request.incoming.head;
     std::string text = head.request.method + " " + head.request.target + " HTTP/1.1\r\n";
@@ -104,7 +102,6 @@
     if (head.contentLength || head.chunked)
         addField(text, "Content-Length", std::to_string(request.incoming.body.size()));
     text += "\r\n";
-    text += request.incoming.body;
     return text;
 }
 
--- a/src/edge/ForwardedRequest.h
+++ b/src/edge/ForwardedRequest.h
@@ -5,6 +5,7 @@
 #include "edge/ForwardingFields.h"
 #include "edge/HttpClientConnection.h"
 #include "edge/RoutingTable.h"
+#include "edge/SharedBody.h"
 #include "edge/WireNames.h"
 
 #include <cstdint>
@@ -39,7 +40,7 @@
 struct IncomingRequest
 {
     MessageHead head;
-    std::string body;
+    SharedBody body;
     Time connectedAt; // when the caller's connection was accepted
     Time receivedAt;  // when the first byte arrived
     ResponseSink sink;
@@ -102,13 +103,12 @@
     bool isIdempotent() const { return route->idempotence == Idempotence::Always; }
 };
 
-// Returns the request as sent to a target.
-std::string serializeTargetRequest(const ForwardedRequest &request, const WireNames &names,
-                                   Time now);
+// Returns the head of the request as sent to a target. The body is sent from where it is held.
+std::string serializeTargetHead(const ForwardedRequest &request, const WireNames &names, Time now);
 
-// Returns the request as sent to a peer, with what this VM has decided about it.
-std::string serializePeerRequest(const ForwardedRequest &request, const WireNames &names,
-                                 const ForwardingTerms &terms);
+// Returns the head of the request as sent to a peer, with what this VM has decided about it.
+std::string serializePeerHead(const ForwardedRequest &request, const WireNames &names,
+                              const ForwardingTerms &terms);
 
 // Returns the status line and header fields of a target's response for the caller. If the body size
 // is unknown, the response is chunked, or delimited by the end of the connection for HTTP/1.0.
--- a/src/edge/Forwarder.cpp
+++ b/src/edge/Forwarder.cpp
@@ -45,6 +45,7 @@
     , m_settings(settings)
     , m_names(names)
     , m_targets(targets)
+    , m_memory(MemoryBudget::limitFor(settings.memoryBytes))
     , m_quotas(settings.vmName, settings.region)
     , m_tokenTimer(loop,
                    [this] {
@@ -326,10 +327,10 @@
     m_targets.partitionDetector().recordSent(target.place(), now);
     m_crashQuarantine.runStarted(request.fingerprint);
     beginExchange(request, target.connections.acquire(now),
-                  serializeTargetRequest(request, m_names, now));
+                  serializeTargetHead(request, m_names, now));
 }
 
-void Forwarder::beginExchange(Request &request, ConnectionPool::Lease lease, std::string bytes)
+void Forwarder::beginExchange(Request &request, ConnectionPool::Lease lease, std::string head)
 {
     request.connection = std::move(lease.connection);
     request.isConnectionReused = !lease.isNew;
@@ -351,7 +352,7 @@
         request.connectTimer->startOnce(connectTimeout);
     }
     request.connection->begin(
-            { std::move(bytes), request.incoming.head.request.method == "HEAD",
+            { std::move(head), request.incoming.head.request.method == "HEAD",
               [this, &request](const MessageHead &head) {
                   return handleResponseHead(request, head);
               },
@@ -360,7 +361,15 @@
               [this, &request](ExchangeFailure failure) {
                   handleExchangeFailure(request, failure);
               },
-              [this, &request] { recordContact(request, true); } });
+              [this, &request] { recordContact(request, true); }, request.incoming.body.share(),
+              [this, &request] { releaseSentBody(request); } });
+}
+
+void Forwarder::releaseSentBody(Request &request)
+{
+    // The attempts of a peer are known only when it has responded.
+    if (request.peer.empty() && request.attemptCount >= request.maxAttempts)
+        request.incoming.body.release();
 }
 
 Duration Forwarder::retryAfter(const Request &request, Duration usual) const
@@ -408,8 +417,9 @@
     BASILDECK_INFO(logComponent) << "refused an unreadable request reason="
                                  << errorResponse(kind).name;
     m_metrics.countRefusal(kind, {}, {});
+    const bool lacksMemory = kind == ErrorKind::QueueFull;
     LocalReply reply = makeRefusal(kind, m_names.refusalStatus(kind), m_names.requestId, {},
-                                   Duration::zero());
+                                   lacksMemory ? m_memory.retryAfter() : Duration::zero());
     sink.head(reply.head);
     sink.body(reply.body);
     sink.finish(true);
--- a/src/edge/Forwarder.h
+++ b/src/edge/Forwarder.h
@@ -6,6 +6,7 @@
 #include "decide/RetryBudget.h"
 #include "decide/RunTimeEstimator.h"
 #include "decide/ShutdownSchedule.h"
+#include "decide/memory/MemoryBudget.h"
 #include "edge/ForwardedRequest.h"
 #include "edge/PeerForwarding.h"
 #include "edge/PeerIntake.h"
@@ -99,6 +100,9 @@
     QuotaManager &quotas() { return m_quotas; }
     const QuotaManager &quotas() const { return m_quotas; }
     const Metrics &metrics() const { return m_metrics; }
+    // The budget for what this VM holds for callers and targets.
+    MemoryBudget &memory() { return m_memory; }
+    const MemoryBudget &memory() const { return m_memory; }
     // The counters of requests forwarded to and taken for other VMs.
     std::string peerMetricsText() const
     {
@@ -132,7 +136,9 @@
     Time endOfService(Time deadline) const;
     void enqueue(Request &request, TargetState &target);
     void sendToTarget(Request &request, TargetState &target);
-    void beginExchange(Request &request, ConnectionPool::Lease lease, std::string bytes);
+    void beginExchange(Request &request, ConnectionPool::Lease lease, std::string head);
+    // Releases the body of a request that was sent, unless another attempt may need it.
+    void releaseSentBody(Request &request);
     // Forwards the request through a peer, or refuses it if no peer may take it. Returns false if
     // it is to be sent to a target directly.
     bool dispatchToPeer(Request &request);
@@ -212,6 +218,7 @@
     const EdgeSettings &m_settings;
     const WireNames &m_names;
     TargetTable &m_targets;
+    MemoryBudget m_memory;
     std::shared_ptr<RoutingTable> m_routing;
     std::unordered_map<RequestId, std::unique_ptr<Request>> m_requests;
     QuotaManager m_quotas;
--- a/src/edge/ForwarderChecks.cpp
+++ b/src/edge/ForwarderChecks.cpp
@@ -114,7 +114,7 @@
     request.fingerprint = stableHash(
             request.incoming.head.request.method + " " + request.incoming.head.request.target + " "
                     + (request.organisation == nullptr ? "" : request.organisation->name),
-            request.incoming.body);
+            request.incoming.body.text());
 }
 
 void Forwarder::startDeadlineTimer(Request &request)
--- a/src/edge/ForwarderPeers.cpp
+++ b/src/edge/ForwarderPeers.cpp
@@ -98,7 +98,7 @@
             << " region=" << peer.region << " route=" << request.route->name << " waited_ms="
             << std::chrono::duration_cast<milliseconds>(now - request.incoming.receivedAt).count();
     beginExchange(request, m_peerForwarding.start(peer),
-                  serializePeerRequest(request, m_names, terms));
+                  serializePeerHead(request, m_names, terms));
 }
 
 void Forwarder::moveToPeers()
--- a/src/edge/HttpClientConnection.cpp
+++ b/src/edge/HttpClientConnection.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <charconv>
+#include <utility>
 
 namespace basildeck {
 
@@ -49,7 +50,7 @@
     m_stream->setCallbacks({ [this] { handleConnected(); },
                              [this](std::string_view bytes) { handleData(bytes); },
                              [this](CloseReason reason) { handleClose(reason); },
-                             {} });
+                             [this] { handleOutputDrained(); } });
 }
 
 void HttpClientConnection::begin(Exchange exchange)
@@ -61,7 +62,13 @@
     m_discardedBytes = 0;
     m_parser.reset();
     m_parser.expectNoBody(m_exchange.isHeadRequest);
-    m_stream->write(m_exchange.request);
+    auto body = std::move(m_exchange.body);
+    if (body && body->size() <= TcpStream::maxCopiedBytes)
+        m_exchange.request += *std::exchange(body, nullptr); // one packet with the head
+    m_stream->writeOwned(std::exchange(m_exchange.request, {}));
+    m_stream->writeShared(std::move(body));
+    if (m_stream->pendingOutput() == 0)
+        handleOutputDrained();
 }
 
 void HttpClientConnection::close()
@@ -76,6 +83,17 @@
     m_stream->setReading(reading);
 }
 
+void HttpClientConnection::pauseReadingUntilClosed()
+{
+    m_stream->pauseReadingUntilClosed();
+}
+
+void HttpClientConnection::handleOutputDrained()
+{
+    if (m_active && m_exchange.onRequestSent)
+        m_exchange.onRequestSent();
+}
+
 void HttpClientConnection::handleConnected()
 {
     m_connected = true;
--- a/src/edge/HttpClientConnection.h
+++ b/src/edge/HttpClientConnection.h
@@ -32,7 +32,7 @@
 
     struct Exchange
     {
-        std::string request; // head and body
+        std::string request; // head, or head and body
         bool isHeadRequest = false;
         // Called when a response head has arrived. Returning false discards the response because
         // it belongs to another request; the connection then waits for the next one.
@@ -43,6 +43,10 @@
         std::function<void(ExchangeFailure)> onFailure;
         // Called when the connection on which the exchange waits is established.
         std::function<void()> onConnected = {};
+        // Sent after the head. May be null.
+        std::shared_ptr<const std::string> body = {};
+        // Called when the kernel has taken the whole request.
+        std::function<void()> onRequestSent = {};
     };
 
     // Starts connecting. Returns null if no socket can be created or the connect fails at once.
@@ -55,6 +59,8 @@
     void close();
     // Pauses or resumes reading the response.
     void setReading(bool reading);
+    // Pauses reading the response until setReading() or until the peer closes the connection.
+    void pauseReadingUntilClosed();
 
     // Whether another exchange may be started.
     bool isReusable() const { return m_reusable && !m_active && m_stream->isOpen(); }
@@ -64,6 +70,7 @@
 
 private:
     void handleConnected();
+    void handleOutputDrained();
     void handleData(std::string_view bytes);
     void handleHead(const MessageHead &head);
     void handleClose(CloseReason reason);
--- a/src/edge/TcpStream.cpp
+++ b/src/edge/TcpStream.cpp
@@ -84,6 +84,14 @@
 void TcpStream::setReading(bool reading)
 {
     m_reading = reading;
+    m_watchesClose = false;
+    updateInterest();
+}
+
+void TcpStream::pauseReadingUntilClosed()
+{
+    m_reading = false;
+    m_watchesClose = true;
     updateInterest();
 }
 
@@ -92,23 +100,67 @@
     if (!isOpen())
         return;
     const bool writing = m_connecting || pendingOutput() > 0;
-    m_watcher->setInterest(m_reading && !m_connecting, writing);
+    m_watcher->setInterest(m_reading && !m_connecting, writing, m_watchesClose && !m_connecting);
 }
 
 void TcpStream::write(std::string_view bytes)
 {
-    if (!isOpen() || m_outputFailed || bytes.empty())
+    if (!acceptsOutput() || bytes.empty())
+        return;
+    if (m_output.empty() || m_output.back().shared || m_output.back().own.size() > highWaterBytes) {
+        addPart({ std::string(bytes), nullptr });
+        return;
+    }
+    m_output.back().own.append(bytes);
+    m_pendingOutput += bytes.size();
+    if (!m_connecting)
+        flush();
+}
+
+void TcpStream::writeOwned(std::string text)
+{
+    if (text.size() <= maxCopiedBytes)
+        write(text);
+    else if (acceptsOutput())
+        addPart({ std::move(text), nullptr });
+}
+
+void TcpStream::writeShared(std::shared_ptr<const std::string> text)
+{
+    if (!text || text->empty() || !acceptsOutput())
         return;
-    m_output.append(bytes);
+    addPart({ {}, std::move(text) });
+}
+
+void TcpStream::addPart(OutputPart part)
+{
+    m_pendingOutput += part.text().size();
+    m_output.push_back(std::move(part));
     if (!m_connecting)
         flush();
 }
 
+void TcpStream::dropSentOutput(std::size_t sent)
+{
+    m_pendingOutput -= sent;
+    m_outputSent += sent;
+    OutputPart &part = m_output.front();
+    if (m_outputSent == part.text().size()) {
+        m_output.pop_front();
+        m_outputSent = 0;
+    } else if (!part.shared && m_outputSent > highWaterBytes) {
+        part.own.erase(0, m_outputSent);
+        m_outputSent = 0;
+    }
+}
+
 void TcpStream::flush()
 {
-    while (pendingOutput() > 0) {
-        const ssize_t sent = ::send(m_descriptor, m_output.data() + m_outputSent, pendingOutput(),
-                                    MSG_NOSIGNAL);
+    while (!m_output.empty()) {
+        const std::string &text = m_output.front().text();
+        const int flags = MSG_NOSIGNAL | (m_output.size() > 1 ? MSG_MORE : 0);
+        const ssize_t sent = ::send(m_descriptor, text.data() + m_outputSent,
+                                    text.size() - m_outputSent, flags);
         if (sent < 0) {
             if (errno == EINTR)
                 continue;
@@ -118,17 +170,11 @@
                 m_outputFailed = true;
                 m_output.clear();
                 m_outputSent = 0;
+                m_pendingOutput = 0;
             }
             break;
         }
-        m_outputSent += static_cast<std::size_t>(sent);
-    }
-    if (pendingOutput() == 0) {
-        m_output.clear();
-        m_outputSent = 0;
-    } else if (m_outputSent > highWaterBytes) {
-        m_output.erase(0, m_outputSent);
-        m_outputSent = 0;
+        dropSentOutput(static_cast<std::size_t>(sent));
     }
     if (pendingOutput() == 0 && m_shutDownAfterFlush)
         shutdown(m_descriptor, SHUT_WR);
@@ -179,8 +225,12 @@
     m_connecting = false;
     if (m_callbacks.onConnected)
         m_callbacks.onConnected();
-    if (isOpen())
-        flush();
+    if (!isOpen())
+        return;
+    const bool hadOutput = pendingOutput() > 0;
+    flush();
+    if (hadOutput && pendingOutput() == 0 && m_callbacks.onOutputDrained)
+        m_callbacks.onOutputDrained();
 }
 
 void TcpStream::handleReady(bool readable, bool writable)
@@ -194,6 +244,8 @@
         if (isOpen() && pendingOutput() == 0 && m_callbacks.onOutputDrained)
             m_callbacks.onOutputDrained();
     }
+    if (readable && isOpen() && m_watchesClose)
+        m_reading = true; // the peer has closed, so little is left to read
     if (readable && isOpen() && m_reading)
         readAvailable();
     updateInterest();
--- a/src/edge/TcpStream.h
+++ b/src/edge/TcpStream.h
@@ -4,6 +4,7 @@
 #include "config/Address.h"
 #include "core/EventLoop.h"
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -25,6 +26,8 @@
     static constexpr Duration unresponsiveTimeout = milliseconds(2500);
     // Producers should pause while more than this much output is buffered.
     static constexpr std::size_t highWaterBytes = 256 * 1024;
+    // Texts up to this size are appended to the output before them instead of kept apart.
+    static constexpr std::size_t maxCopiedBytes = 16 * 1024;
 
     struct Callbacks
     {
@@ -45,7 +48,15 @@
 
     void setCallbacks(Callbacks callbacks) { m_callbacks = std::move(callbacks); }
     void setReading(bool reading);
+    // Pauses reading, but still notices that the peer closed the connection: what has arrived until
+    // then is read, and the close is reported.
+    void pauseReadingUntilClosed();
     void write(std::string_view bytes);
+    // Writes a text without copying it.
+    void writeOwned(std::string text);
+    // Writes a text, possibly null, that others use as well. The reference is dropped once the
+    // kernel has taken the whole text.
+    void writeShared(std::shared_ptr<const std::string> text);
     // Shuts down the sending side once all output was passed to the kernel. The peer's end of
     // stream is still reported: closing earlier, with unread input, would reset the connection and
     // could discard output in transit.
@@ -54,9 +65,19 @@
     // Closes the connection with a TCP reset.
     void reset();
     bool isOpen() const { return m_descriptor >= 0; }
-    std::size_t pendingOutput() const { return m_output.size() - m_outputSent; }
+    std::size_t pendingOutput() const { return m_pendingOutput; }
 
 private:
+    // A part of the output: a text of its own or one that others use as well.
+    struct OutputPart
+    {
+        std::string own;
+        std::shared_ptr<const std::string> shared;
+        const std::string &text() const { return shared ? *shared : own; }
+    };
+    bool acceptsOutput() const { return isOpen() && !m_outputFailed; }
+    void addPart(OutputPart part);
+    void dropSentOutput(std::size_t sent);
     void handleReady(bool readable, bool writable);
     void finishConnect();
     void readAvailable();
@@ -68,12 +89,14 @@
     int m_descriptor;
     bool m_connecting;
     bool m_reading = true;
+    bool m_watchesClose = false; // while reading is paused
     bool m_shutDownAfterFlush = false;
     bool m_outputFailed = false;
     std::unique_ptr<DescriptorWatcher> m_watcher;
     Callbacks m_callbacks;
-    std::string m_output;
-    std::size_t m_outputSent = 0;
+    std::deque<OutputPart> m_output;
+    std::size_t m_outputSent = 0; // of the first part
+    std::size_t m_pendingOutput = 0;
 };
 
 // A listening socket that accepts connections at one address.
--- a/tests/CallerConnectionTest.cpp
+++ b/tests/CallerConnectionTest.cpp
@@ -16,7 +16,7 @@
 {
 public:
     ConnectionFixture()
-        : m_context{ m_loop, makeHandler(), {}, false, 0, 1000 }
+        : m_context{ m_loop, makeHandler(), {}, m_memory, false, 0, {} }
     {
         int ends[2];
         REQUIRE(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0, ends) == 0);
@@ -101,6 +101,7 @@
     }
 
     EventLoop m_loop;
+    MemoryBudget m_memory{ 1000 };
     CallerContext m_context;
     std::optional<ResponseSink> m_responseSink;
     std::uint64_t m_requestCount = 0;
--- a/tests/EdgeFixture.cpp
+++ b/tests/EdgeFixture.cpp
@@ -65,8 +65,9 @@
 }
 
 EdgeFixture::EdgeFixture(std::size_t targetCount, int slots, const std::string &vm,
-                         const std::string &region)
+                         const std::string &region, std::size_t memoryBytes)
 {
+    m_settings.memoryBytes = memoryBytes;
     m_settings.vmName = vm;
     m_settings.region = region;
     m_settings.zone = "north-a";
@@ -95,7 +96,7 @@
               [this](std::uint64_t id) { m_forwarder->callerDisconnected(id); },
               [this](std::uint64_t id) { m_forwarder->callerOutputDrained(id); },
               [this](std::uint64_t id) { m_forwarder->responseIsNext(id); } },
-            1'000'000);
+            m_forwarder->memory());
     REQUIRE(server);
     m_server = std::move(server.value());
     m_server->setLimits(config.limits);
@@ -111,7 +112,7 @@
                                  [this](std::uint64_t id) { m_forwarder->callerDisconnected(id); },
                                  [this](std::uint64_t id) { m_forwarder->callerOutputDrained(id); },
                                  [this](std::uint64_t id) { m_forwarder->responseIsNext(id); } },
-                               1'000'000);
+                               m_forwarder->memory());
     REQUIRE(peerServer);
     m_peerServer = std::move(peerServer.value());
     m_peerServer->setLimits(config.limits);
@@ -165,6 +166,20 @@
     return count;
 }
 
+std::size_t EdgeFixture::heldMemory()
+{
+    std::size_t bytes = 0;
+    runOnLoop([&] { bytes = m_forwarder->memory().held(); });
+    return bytes;
+}
+
+std::uint64_t EdgeFixture::memoryPauses(MemoryUse use)
+{
+    std::uint64_t count = 0;
+    runOnLoop([&] { count = m_forwarder->memory().pauses(use); });
+    return count;
+}
+
 ForwardingPeer EdgeFixture::asPeer() const
 {
     return { m_settings.vmName, m_settings.region, m_peerAddress };
--- a/tests/EdgeFixture.h
+++ b/tests/EdgeFixture.h
@@ -26,7 +26,7 @@
     static constexpr const char *homeRegion = "north";
 
     explicit EdgeFixture(std::size_t targetCount = 1, int slots = 4, const std::string &vm = "vm-1",
-                         const std::string &region = homeRegion);
+                         const std::string &region = homeRegion, std::size_t memoryBytes = 0);
     ~EdgeFixture();
     EdgeFixture(const EdgeFixture &) = delete;
     EdgeFixture &operator=(const EdgeFixture &) = delete;
@@ -37,6 +37,9 @@
     // Stops the edge from accepting requests, and waits until that has taken effect.
     void stopAccepting();
     std::size_t openRequests();
+    // What the edge holds for callers and targets, and how often it paused reading.
+    std::size_t heldMemory();
+    std::uint64_t memoryPauses(MemoryUse use);
     // Tells the forwarder that the process received SIGTERM.
     void beginShutdown(const ShutdownSchedule &schedule);
     // Ends the open requests as at the end of a shutdown.
--- a/tools/soak/SoakStore.cpp
+++ b/tools/soak/SoakStore.cpp
@@ -11,7 +11,6 @@
 namespace {
 
 constexpr std::string_view objectsPathPrefix = "/api/objects/";
-constexpr std::size_t maxBodyBytes = 1 << 20;
 constexpr Duration copyInterval = milliseconds(250);
 constexpr std::size_t maxCopies = 48; // of 12 s
 
@@ -55,7 +54,7 @@
                                          });
                                      },
                                      [](std::uint64_t) {} },
-                                   maxBodyBytes);
+                                   m_memory);
     if (!server)
         return false;
     m_servers.push_back(std::move(server.value()));
@@ -139,7 +138,7 @@
     else if (method == "DELETE")
         remove(kind, name);
     else
-        put(kind, name, json::parse(request.body).at("spec"));
+        put(kind, name, json::parse(request.body.text()).at("spec"));
     if (m_mode == StoreMode::DropResponses) {
         request.sink.abort();
         return;
--- a/tools/soak/SoakStore.h
+++ b/tools/soak/SoakStore.h
@@ -84,6 +84,7 @@
     void sendResponse(const ResponseSink &sink, int status, const nlohmann::json &body);
 
     EventLoop &m_loop;
+    MemoryBudget m_memory{ 1 << 20 }; // for request bodies
     std::vector<std::unique_ptr<EdgeServer>> m_servers;
     StoreMode m_mode = StoreMode::Normal;
     std::uint64_t m_era = 1;
--- a/tools/soak/SoakTargets.cpp
+++ b/tools/soak/SoakTargets.cpp
@@ -23,7 +23,6 @@
 constexpr int usualHoldOffPeriod = 150;
 constexpr int faultyHoldOffPeriod = 3;
 constexpr Duration checkInInterval = seconds(1);
-constexpr std::size_t maxBodyBytes = 1 << 20;
 
 std::string field(const IncomingRequest &request, std::string_view name)
 {
@@ -74,7 +73,7 @@
               },
               [this](std::uint64_t exchangeId) { handleDisconnect(exchangeId); },
               [](std::uint64_t) {} },
-            maxBodyBytes);
+            m_memory);
     target->proxy = FaultProxy::make(m_loop, proxyAddress, listenAddress);
     if (!server || !target->proxy)
         return false;
@@ -281,7 +280,7 @@
     const ResponseSink &sink = request.sink;
     const bool injectsFault = std::uniform_int_distribution<int>(0, 2)(m_random) == 0;
     const TargetMode mode = injectsFault ? target.mode : TargetMode::Healthy;
-    std::string body = id + " " + request.head.request.target + " " + request.body;
+    std::string body = id + " " + request.head.request.target + " " + request.body.text();
     if (target.service == longService)
         body.append(static_cast<std::size_t>(pathNumber(request.head.request.target, 1)), 'r');
     const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nResponse-Seal: s-" + id
--- a/tools/soak/SoakTargets.h
+++ b/tools/soak/SoakTargets.h
@@ -136,6 +136,7 @@
     void checkIn(const std::string &id);
 
     EventLoop &m_loop;
+    MemoryBudget m_memory{ 1 << 20 }; // for request bodies
     SoakStore &m_store;
     std::mt19937_64 &m_random;
     std::map<std::string, ExecutionRecord> m_executions;
