Read a response behind others on its connection only within the budget

Cause: the bodies of responses that are not the next one of their connection were buffered without a limit. Back-pressure looked only at the output of the connection, which is empty until the first response is there.

Buffered responses and output of callers' connections now count against the memory budget. A response that is not the next one is read ahead within the budget and is paused otherwise. The next one never waits for the budget, so each connection makes progress. A paused response gives back its place at its target, since connections could otherwise wait for each other. While memory is short, connections hold less output and fewer pipelined requests.

A connection whose response ended while reading was paused went back to the pool without reading; endAttempt() now resumes it.

The test "a long response behind another one is read when it is the next one" fails on the earlier code (32 MiB are taken within 1 s) and passes now.

--- a/src/edge/CallerConnection.cpp
+++ b/src/edge/CallerConnection.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr const char *logComponent = "caller";
+// Limit on the output of a connection while memory is short.
+constexpr std::size_t shortHighWaterBytes = TcpStream::highWaterBytes / 16;
 constexpr std::string_view continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
 } // namespace
@@ -22,6 +24,7 @@
                { [this](MessageHead head) { handleHead(std::move(head)); },
                  [this](std::string_view bytes) { handleBody(bytes); }, [] {} })
     , m_onClosed(std::move(onClosed))
+    , m_outputCharge(context.memory.charge(MemoryUse::CallerOutput))
     , m_connectedAt(context.loop.now())
     , m_lastInput(m_connectedAt)
     , m_idleSince(m_lastInput)
@@ -31,6 +34,7 @@
                              [this](std::string_view bytes) { handleData(bytes); },
                              [this](CloseReason) { closeNow(); },
                              [this] {
+                                 countOutput();
                                  for (const PendingResponse &pending : m_pendingResponses)
                                      m_context.handler.callerOutputDrained(pending.request);
                              } });
@@ -76,7 +80,7 @@
 void CallerConnection::parseInput()
 {
     while (m_acceptsInput && (!m_input.empty() || m_parser.isComplete())
-           && m_pendingResponses.size() < maxPipelinedRequests) {
+           && m_pendingResponses.size() < maxPending()) {
         // A complete request may have waited for memory.
         if (!m_parser.isComplete()) {
             const std::size_t consumed = m_parser.feed(m_input);
@@ -99,11 +103,24 @@
     updateReading();
 }
 
+std::size_t CallerConnection::maxPending() const
+{
+    return m_context.memory.isShort() ? 1 : maxPipelinedRequests;
+}
+
+void CallerConnection::countOutput()
+{
+    std::size_t bytes = m_stream->pendingOutput();
+    for (const PendingResponse &pending : m_pendingResponses)
+        bytes += pending.output.size();
+    m_outputCharge.set(bytes);
+}
+
 void CallerConnection::updateReading()
 {
     // Input beyond the pipelining limit, or for which there is no memory, stays in the kernel's
     // buffer.
-    const bool mayRead = m_pendingResponses.size() < maxPipelinedRequests && !m_memoryWait;
+    const bool mayRead = m_pendingResponses.size() < maxPending() && !m_memoryWait;
     m_stream->setReading(mayRead || !m_acceptsInput);
 }
 
@@ -237,7 +254,11 @@
              [this, id](std::string_view bytes) { writeResponseBody(id, bytes); },
              [this, id](bool closesConnection) { finishResponse(id, closesConnection); },
              [this] { abortResponse(); },
-             [this] { return m_stream->pendingOutput() > TcpStream::highWaterBytes; },
+             [this] {
+                 const bool isShort = m_context.memory.isShort();
+                 return m_stream->pendingOutput()
+                        > (isShort ? shortHighWaterBytes : TcpStream::highWaterBytes);
+             },
              [this, id] {
                  return !m_pendingResponses.empty() && m_pendingResponses.front().id == id;
              } };
@@ -278,6 +299,8 @@
     if (pending == &m_pendingResponses.front()
         && pending->output.size() > TcpStream::highWaterBytes / 4)
         flushResponses();
+    else
+        countOutput();
 }
 
 void CallerConnection::finishResponse(std::uint64_t id, bool closesConnection)
@@ -295,7 +318,8 @@
     bool hasNewNext = false;
     while (!m_pendingResponses.empty()) {
         PendingResponse &front = m_pendingResponses.front();
-        m_stream->write(std::exchange(front.output, {}));
+        m_stream->writeOwned(std::exchange(front.output, {}));
+        countOutput();
         if (!front.isDone) {
             if (hasNewNext && front.request != 0)
                 m_context.handler.responseIsNext(front.request);
@@ -352,6 +376,7 @@
         BASILDECK_INFO(logComponent)
                 << "connection closed with unsent output bytes=" << m_stream->pendingOutput();
     dropBody();
+    m_outputCharge.set(0);
     m_stream->close();
     const auto pending = std::exchange(m_pendingResponses, {});
     for (const PendingResponse &response : pending) {
@@ -365,6 +390,7 @@
 {
     if (m_isClosed || m_memoryWait)
         return;
+    countOutput();
     if (m_isLingering) {
         if (now >= m_lingerUntil && m_stream->pendingOutput() == 0)
             closeNow();
--- a/src/edge/CallerConnection.h
+++ b/src/edge/CallerConnection.h
@@ -95,6 +95,10 @@
     void dropBody();
     void endMemoryWait();
     void updateReading();
+    // The number of requests after which reading pauses; fewer if memory is short.
+    std::size_t maxPending() const;
+    // Counts the output that waits for earlier responses or for the caller.
+    void countOutput();
     void submitRequest();
     void refuseInput(ErrorKind kind);
 
@@ -118,6 +122,7 @@
     IncomingRequest m_incoming;
     std::string m_incomingBody;
     MemoryCharge m_bodyCharge;
+    MemoryCharge m_outputCharge;
     // A body that may not be read on until memory is free.
     struct MemoryWait
     {
--- a/src/edge/ForwardedRequest.h
+++ b/src/edge/ForwardedRequest.h
@@ -51,12 +51,14 @@
 {
     MessageHead head;
     std::string body;           // buffered so far
+    MemoryCharge charge;        // of body
     bool notExecuted = false;   // the target reports that it did not execute the request
     bool isMisdirected = false; // the address belongs to another target
     // Has no request id although the connection was used before, so it may be a repetition of the
     // response to an earlier request.
     bool isUnidentified = false;
-    bool isStreaming = false;                 // the head was sent to the caller
+    bool isStreaming = false;   // the head was sent to the caller
+    bool isRunRecorded = false; // the run has ended for the target, which only has to send the rest
     std::optional<ForwardingOutcome> outcome; // as told by the peer that sent this response
 };
 
@@ -87,11 +89,12 @@
     std::vector<std::string> triedPeers;
     bool staysWithPeers = false; // not to be sent to a target directly
     bool mayHaveRun = false;
-    std::string targetId;           // for which it is queued or to which it was sent
-    bool isWaitingForToken = false; // from its organisation's quota
-    bool isQueued = false;          // in the target's queue
-    bool isInFlight = false;        // sent, or about to be sent on a new connection
-    bool isReadingPaused = false;   // because the caller reads too slowly
+    std::string targetId;              // for which it is queued or to which it was sent
+    bool isWaitingForToken = false;    // from its organisation's quota
+    bool isQueued = false;             // in the target's queue
+    bool isInFlight = false;           // sent, or about to be sent on a new connection
+    bool isReadingPaused = false;      // because the caller reads too slowly or for lack of memory
+    bool isDispatchedWhenNext = false; // waits until its response is the next of its connection
     Time sentAt;
     std::unique_ptr<HttpClientConnection> connection;
     bool isConnectionReused = false; // it carried earlier requests
--- a/src/edge/Forwarder.h
+++ b/src/edge/Forwarder.h
@@ -191,6 +191,16 @@
     bool mayStream(const Request &request) const;
     void startStreaming(Request &request);
     void forwardBody(Request &request, std::string_view bytes);
+    // Counts a response that is buffered, and pauses reading it if the memory for it is used up.
+    void holdResponse(Request &request);
+    // Pauses reading a response until it is the next of its connection. Its run counts as ended, so
+    // that the requests before it cannot wait for its place at the target.
+    void pauseUntilNext(Request &request);
+    // Sends a request whose response was given up while it was paused only when it is the next, as
+    // it would be paused again.
+    void dispatchWhenNext(Request &request);
+    // Records the end of a run that was answered, once.
+    void recordRun(Request &request, TargetState &target);
     // The open requests whose responses are, or are not, being streamed.
     std::vector<RequestId> openRequestIds(bool streaming) const;
     // Ends the current attempt. Returns the connection to the pool unless the attempt was
--- a/src/edge/ForwarderPeers.cpp
+++ b/src/edge/ForwarderPeers.cpp
@@ -132,7 +132,7 @@
     if (wasSent && (!isRepeatable || !acquireRetry(request, RetryReason::LostIdempotent)))
         return;
     endAttempt(request, true);
-    if (target != nullptr)
+    if (target != nullptr && !request.response.isRunRecorded)
         target->concurrencyLimiter.ended();
     request.mayHaveRun = request.mayHaveRun || wasSent;
     request.staysWithPeers = true;
--- a/src/edge/ForwarderResponses.cpp
+++ b/src/edge/ForwarderResponses.cpp
@@ -7,7 +7,6 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
-#include <cstdio>
 
 namespace basildeck {
 
@@ -97,24 +96,6 @@
     return true;
 }
 
-void Forwarder::handleResponseBody(Request &request, std::string_view bytes)
-{
-    recordContact(request, false);
-    if (request.response.isStreaming) {
-        forwardBody(request, bytes);
-        return;
-    }
-    request.response.body.append(bytes);
-    if (mayStream(request)) {
-        // A response that has to wait for earlier ones can still be replaced if it is cut off.
-        if (request.response.body.size() > maxBufferedResponseBytes
-            && request.incoming.sink.isNext())
-            startStreaming(request);
-    } else if (request.response.body.size() > maxUnforwardedBodyBytes) {
-        handleExchangeFailure(request, ExchangeFailure::Malformed);
-    }
-}
-
 bool Forwarder::mayStream(const Request &request) const
 {
     const HeaderFields &fields = request.response.head.fields;
@@ -122,59 +103,14 @@
            && fields.find("content-encoding") == nullptr;
 }
 
-void Forwarder::responseIsNext(RequestId id)
-{
-    const auto found = m_requests.find(id);
-    if (found == m_requests.end())
-        return;
-    Request &request = *found->second;
-    if (!request.response.isStreaming && request.response.body.size() > maxBufferedResponseBytes
-        && mayStream(request))
-        startStreaming(request);
-}
-
-void Forwarder::startStreaming(Request &request)
-{
-    request.response.isStreaming = true;
-    const auto length = request.response.head.contentLength;
-    request.incoming.sink.head(serializeResponseHead(
-            request, m_names, length ? std::optional<std::size_t>(*length) : std::nullopt));
-    const std::string held = std::exchange(request.response.body, {});
-    forwardBody(request, held);
-}
-
-void Forwarder::forwardBody(Request &request, std::string_view bytes)
-{
-    const bool inChunks = !request.response.head.contentLength && !request.incoming.head.isHttp10;
-    if (inChunks) {
-        std::array<char, 24> size{};
-        std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
-        request.incoming.sink.body(std::string(size.data()).append(bytes).append("\r\n"));
-    } else {
-        request.incoming.sink.body(bytes);
-    }
-    if (!request.isReadingPaused && request.incoming.sink.isCongested()) {
-        request.isReadingPaused = true;
-        request.connection->setReading(false);
-    }
-}
-
-void Forwarder::callerOutputDrained(RequestId id)
-{
-    const auto found = m_requests.find(id);
-    if (found == m_requests.end() || !found->second->isReadingPaused)
-        return;
-    found->second->isReadingPaused = false;
-    if (found->second->connection)
-        found->second->connection->setReading(true);
-}
-
 void Forwarder::endAttempt(Request &request, bool cancelled)
 {
     if (!request.isInFlight)
         return;
     request.isInFlight = false;
     request.connectTimer.reset();
+    if (std::exchange(request.isReadingPaused, false) && request.connection)
+        request.connection->setReading(true);
     if (!request.peer.empty()) {
         if (cancelled && request.connection) {
             request.connection->close();
@@ -228,15 +164,8 @@
     const Duration runDuration = now - request.sentAt;
     TargetState *target = m_targets.find(request.targetId);
     endAttempt(request, false);
-    if (target != nullptr) {
-        target->concurrencyLimiter.answered(request.route->name, runDuration,
-                                            parseLoad(head.fields.find(m_names.serverLoad)), now);
-        m_runTimeEstimator.record(request.route->name, target->region, runDuration);
-        if (isSlow(request, *target, runDuration))
-            reportTarget(*target, TargetTrouble::Slow);
-        target->outlierDetector.recordSuccess();
-        target->lostRuns.clear();
-    }
+    if (target != nullptr)
+        recordRun(request, *target);
     m_crashQuarantine.clearSuspicion(request.fingerprint);
     if (request.response.isStreaming) {
         if (!head.contentLength && !request.incoming.head.isHttp10)
@@ -262,6 +191,21 @@
         sendQueued(*target);
 }
 
+void Forwarder::recordRun(Request &request, TargetState &target)
+{
+    if (std::exchange(request.response.isRunRecorded, true))
+        return;
+    const Time now = m_loop.now();
+    const Duration run = now - request.sentAt;
+    const std::string *load = request.response.head.fields.find(m_names.serverLoad);
+    target.concurrencyLimiter.answered(request.route->name, run, parseLoad(load), now);
+    m_runTimeEstimator.record(request.route->name, target.region, run);
+    if (isSlow(request, target, run))
+        reportTarget(target, TargetTrouble::Slow);
+    target.outlierDetector.recordSuccess();
+    target.lostRuns.clear();
+}
+
 bool Forwarder::acquireRetry(const Request &request, RetryReason reason)
 {
     const Time now = m_loop.now();
@@ -315,8 +259,10 @@
                                  << " how=" << exchangeFailureName(failure)
                                  << " ran_ms=" << toMilliseconds(now - request.sentAt)
                                  << " streaming=" << request.response.isStreaming;
+    // A target that gives up a response that this VM does not read is not at fault.
+    const bool wasPaused = request.response.isRunRecorded;
     endAttempt(request, true);
-    if (target != nullptr) {
+    if (target != nullptr && !wasPaused) {
         target->concurrencyLimiter.ended();
         recordContactFailure(request, *target, failure);
         recordTargetFailure(*target, request.sentAt);
@@ -339,7 +285,10 @@
     } else if ((!wasSent || request.isIdempotent())
                && acquireRetry(request, wasSent ? RetryReason::LostIdempotent
                                                 : RetryReason::ConnectFailed)) {
-        dispatch(request);
+        if (wasPaused)
+            dispatchWhenNext(request);
+        else
+            dispatch(request);
     } else {
         const ErrorKind kind = request.mayHaveRun ? (failure == ExchangeFailure::Malformed
                                                              ? ErrorKind::AnswerInvalid
@@ -370,7 +319,7 @@
     endAttempt(request, true);
     if (wasRunning) {
         request.mayHaveRun = true;
-        if (target != nullptr) {
+        if (target != nullptr && !request.response.isRunRecorded) {
             target->concurrencyLimiter.ended();
             recordTargetFailure(*target, request.sentAt);
         }
@@ -436,7 +385,7 @@
         target->concurrencyLimiter.cancel(id);
     const bool wasRunning = request.isInFlight;
     endAttempt(request, true);
-    if (wasRunning && target != nullptr)
+    if (wasRunning && target != nullptr && !request.response.isRunRecorded)
         target->concurrencyLimiter.ended();
     finish(request);
     if (target != nullptr)
--- a/src/edge/ForwarderTargets.cpp
+++ b/src/edge/ForwarderTargets.cpp
@@ -63,7 +63,8 @@
 bool Forwarder::isSlow(const Request &request, const TargetState &target, Duration run) const
 {
     // A large response takes its time on the way, and a cold target is slow at first.
-    return !request.response.isStreaming && !m_targets.isCold(target, m_loop.now())
+    return !request.response.isStreaming && !request.isReadingPaused
+           && !m_targets.isCold(target, m_loop.now())
            && run > m_runTimeEstimator.slowRun(request.route->name, target.region);
 }
 
--- a/tests/BoundedMemoryTest.cpp
+++ b/tests/BoundedMemoryTest.cpp
@@ -2,6 +2,9 @@
 
 #include <doctest/doctest.h>
 
+#include <chrono>
+#include <future>
+
 namespace basildeck::test {
 
 using standin::RawResponse;
@@ -11,6 +14,9 @@
 // A VM with this much memory has a budget of 150,000 bytes, which two bodies of this size fit into.
 constexpr std::size_t memoryBytes = 250'000;
 constexpr std::size_t bodyBytes = 60'000;
+// A part of a response that pauses it, and whose end of stream arrives although little is read: it
+// fits into the receive buffer.
+constexpr std::size_t partBytes = 100'000;
 
 RawResponse completeResponse(standin::RawSocket &socket)
 {
@@ -32,6 +38,37 @@
     return request.socket->buffer();
 }
 
+// A caller has sent two requests on one connection. The first one runs at target 0, the response to
+// the second one, at target 1, is paused, because more was sent than fits into the memory.
+struct PausedResponse
+{
+    static constexpr std::size_t bytes = 32 * 1024 * 1024;
+
+    explicit PausedResponse(EdgeFixture &edge)
+        : caller(edge.sendAsCaller(get(edge, "r1", 0) + get(edge, "r2", 1)))
+        , first(edge.awaitRequest(0))
+        , paused(edge.awaitRequest(1))
+    {}
+
+    static std::string get(EdgeFixture &edge, const std::string &id, std::size_t target)
+    {
+        return EdgeFixture::request("GET", "/safe/" + id, id,
+                                    "Cookie: Affinity-Key=" + edge.objectPlacedAt("/safe/", target)
+                                            + "\r\n");
+    }
+
+    std::unique_ptr<standin::RawSocket> caller;
+    EdgeFixture::TargetRequest first;
+    EdgeFixture::TargetRequest paused;
+    std::string response = EdgeFixture::sealedResponse("r2", std::string(bytes, 'p'));
+};
+
+void awaitPause(EdgeFixture &fixture)
+{
+    while (fixture.memoryPauses(MemoryUse::Response) == 0) {
+    }
+}
+
 } // namespace
 
 TEST_SUITE_BEGIN("bounded memory");
@@ -96,6 +133,64 @@
     CHECK(completeResponse(*caller).body == "one");
 }
 
+// Guards against the failure in review/2: a response behind a slow one of its connection was read
+// and kept without a limit.
+TEST_CASE("a long response behind another one is read when it is the next one")
+{
+    EdgeFixture fixture(2, 4, "vm-1", EdgeFixture::homeRegion, memoryBytes);
+    PausedResponse pipelined(fixture);
+    auto sent = std::async(std::launch::async,
+                           [&] { return pipelined.paused.socket->send(pipelined.response); });
+    CHECK(sent.wait_for(std::chrono::seconds(1)) == std::future_status::timeout);
+    CHECK(fixture.memoryPauses(MemoryUse::Response) == 1);
+    CHECK(fixture.heldMemory() < memoryBytes);
+    pipelined.first.socket->send(EdgeFixture::sealedResponse("r1", "one"));
+    CHECK(completeResponse(*pipelined.caller).body == "one");
+    CHECK(completeResponse(*pipelined.caller).body.size() == PausedResponse::bytes);
+    CHECK(sent.get());
+    CHECK(fixture.heldMemory() == 0);
+}
+
+// A target gives up a response that is not read for long. The request is sent again when its
+// response is read without a pause.
+TEST_CASE("the end of a paused response is noticed and the request is retried as the next one")
+{
+    EdgeFixture fixture(2, 4, "vm-1", EdgeFixture::homeRegion, memoryBytes);
+    PausedResponse pipelined(fixture);
+    pipelined.paused.socket->send(pipelined.response.substr(0, partBytes));
+    awaitPause(fixture);
+    SUBCASE("by the end of the stream") {}
+    SUBCASE("by a reset")
+    {
+        pipelined.paused.socket->resetOnClose();
+    }
+    pipelined.paused.socket.reset();
+    while (fixture.heldMemory() > 0) {
+    }
+    CHECK(fixture.openRequests() == 2);
+    pipelined.first.socket->send(EdgeFixture::sealedResponse("r1", "one"));
+    CHECK(completeResponse(*pipelined.caller).body == "one");
+    const auto retried = standin::readHead(*pipelined.first.socket); // on the kept connection
+    REQUIRE(retried);
+    CHECK(retried->header("request-id") == "r2");
+    pipelined.first.socket->send(EdgeFixture::sealedResponse("r2", "two"));
+    CHECK(completeResponse(*pipelined.caller).body == "two");
+}
+
+// Guards against two connections that wait for each other's responses through places at targets.
+TEST_CASE("a paused response does not keep its place at the target")
+{
+    EdgeFixture fixture(2, 2, "vm-1", EdgeFixture::homeRegion, memoryBytes); // one at a time
+    PausedResponse pipelined(fixture);
+    pipelined.paused.socket->send(pipelined.response.substr(0, partBytes));
+    awaitPause(fixture);
+    auto caller = fixture.sendAsCaller(PausedResponse::get(fixture, "r3", 1));
+    auto request = fixture.awaitRequest(1);
+    CHECK(request.head.header("request-id") == "r3");
+    request.socket->send(EdgeFixture::sealedResponse("r3", "three"));
+    CHECK(completeResponse(*caller).body == "three");
+}
+
 TEST_SUITE_END();
 
 } // namespace basildeck::test
