Share the rate of a cold target among the registered VMs from the start

Cause: a VM that starts counted the VMs of its region by their heartbeats only, so each took the whole rate until the target's entry changed. If the targets were listed before the configuration, the cold phase did not start at all, as the service was not known.

The rate is now divided among the registered VMs of the region, or those that are heard from if they are more, and among 100 until the list is known. The share follows later changes, and a cold phase whose service is not known yet is limited when the configuration arrives.

The new test "a VM that starts takes a share of a cold target that is safe" gets 100 and 11 permits a second instead of none, for the two orders, when the two changes are taken out of TargetTable. 188 cases of the edge, forwarding, peer, target and memory suites pass.

--- a/src/decide/ColdTargetLimiter.h
+++ b/src/decide/ColdTargetLimiter.h
@@ -19,10 +19,16 @@
         , m_updated(now)
     {}
 
+    // Applies from now on; what has accrued so far stays.
+    void setRate(double ratePerSecond, Time now)
+    {
+        accrue(now);
+        m_rate = ratePerSecond;
+    }
+
     bool tryAcquire(Time now)
     {
-        m_tokens = std::min(maxTokens, m_tokens + m_rate * toSeconds(now - m_updated));
-        m_updated = now;
+        accrue(now);
         if (m_tokens < 1)
             return false;
         m_tokens -= 1;
@@ -30,6 +36,13 @@
     }
 
 private:
+    void accrue(Time now)
+    {
+        const double elapsed = std::max(0.0, toSeconds(now - m_updated));
+        m_tokens = std::min(maxTokens, m_tokens + m_rate * elapsed);
+        m_updated = std::max(m_updated, now);
+    }
+
     double m_rate;
     double m_tokens = 0;
     Time m_updated;
--- a/src/edge/EdgeProcess.cpp
+++ b/src/edge/EdgeProcess.cpp
@@ -415,6 +415,8 @@
     BASILDECK_INFO(logComponent) << "started vm=" << m_settings.vmName
                                  << " region=" << m_settings.region << " zone=" << m_settings.zone
                                  << " version=" << BASILDECK_VERSION;
+    // Until the registered VMs are known, this VM must not take itself for the only one.
+    m_targets.setFleet({}, m_loop.now());
     m_view->start();
     m_timer.startRepeating(tickPeriod);
     m_loop.run();
--- a/src/edge/TargetTable.cpp
+++ b/src/edge/TargetTable.cpp
@@ -41,6 +41,11 @@
     m_services.clear();
     for (const Service &service : config.services)
         m_services[service.name] = service;
+    // Targets may be listed before the configuration.
+    for (auto &[id, target] : m_targets) {
+        if (isCold(*target, m_loop.now()))
+            limitColdTarget(*target, m_loop.now());
+    }
 }
 
 TargetState *TargetTable::find(std::string_view id)
@@ -158,12 +163,9 @@
 
 void TargetTable::startColdPhase(TargetState &target, Duration coldRemaining, Time now)
 {
-    const auto service = m_services.find(target.registration.service);
-    if (service == m_services.end() || service->second.coldRequestsPerSecond <= 0)
-        return;
     target.coldUntil = std::max(target.coldUntil, now + coldRemaining);
-    target.coldLimiter.emplace(
-            service->second.coldRequestsPerSecond / static_cast<double>(m_regionVmCount), now);
+    target.coldLimiter.reset();
+    limitColdTarget(target, now);
 }
 
 void TargetTable::remove(const std::string &id, Time now)
--- a/src/edge/TargetTable.h
+++ b/src/edge/TargetTable.h
@@ -57,6 +57,9 @@
     // How long a target is kept after its entry expired during a store outage. The platform
     // guarantees that live targets are registered again within two seconds.
     static constexpr Duration expiryGrace = milliseconds(2100);
+    // Number of VMs among which the rate of a cold target is divided until the list of registered
+    // VMs is known. A fleet of 300 VMs has so many in each of three regions.
+    static constexpr std::size_t unknownRegionVmCount = 100;
     // A store outage that ended longer ago than this cannot have caused an entry to expire.
     static constexpr Duration outageWindow = seconds(6);
     // How long the notice of a removed target is kept, in case its entry returns.
@@ -98,7 +101,7 @@
                                         const std::vector<std::string> &allowedRegions,
                                         Time now) const;
     // The number of VMs in this region, which share the request rate of a cold target.
-    void setRegionVmCount(std::size_t count) { m_regionVmCount = std::max<std::size_t>(1, count); }
+    void setRegionVmCount(std::size_t count);
     void setStoreReachable(bool reachable, Time now);
     // How long this VM has reached the store without interruption.
     Duration storeReachableFor(Time now) const;
@@ -164,6 +167,12 @@
     void countLimited();
     void expireLimits(Time now);
     void startColdPhase(TargetState &target, Duration coldRemaining, Time now);
+    // Sets this VM's share of the request rate of a cold target, if its service is known.
+    void limitColdTarget(TargetState &target, Time now);
+    // The number of VMs that share the rate of cold targets in this region. A VM that starts knows
+    // the registered ones before their heartbeats have arrived.
+    std::size_t coldShareCount() const;
+    void updateColdShares(Time now);
     void removeNow(const std::string &id);
     bool isMajorityEjected(const std::string &service, Time now) const;
 
@@ -174,7 +183,7 @@
     std::map<std::string, Placement> m_placements;   // by service, built on demand
     std::set<std::string> m_evacuatedZones;
     std::map<std::string, Service> m_services;
-    std::size_t m_regionVmCount = 1;
+    std::size_t m_regionVmCount = 1; // by heartbeats, this VM included
     std::map<std::string, std::string> m_vmRegions;
     std::size_t m_limitedCount = 0;
     bool m_isStoreReachable = true;
--- a/src/edge/TargetTableLimits.cpp
+++ b/src/edge/TargetTableLimits.cpp
@@ -81,6 +81,49 @@
     m_vmRegions = std::move(vmRegions);
     for (auto &[id, target] : m_targets)
         updateLimitShare(*target, now);
+    updateColdShares(now);
+}
+
+void TargetTable::setRegionVmCount(std::size_t count)
+{
+    if (std::exchange(m_regionVmCount, std::max<std::size_t>(1, count)) != count)
+        updateColdShares(m_loop.now());
+}
+
+std::size_t TargetTable::coldShareCount() const
+{
+    if (m_vmRegions.empty())
+        return std::max(unknownRegionVmCount, m_regionVmCount);
+    const auto others = std::count_if(m_vmRegions.begin(), m_vmRegions.end(), [&](const auto &vm) {
+        return vm.first != m_settings.vmName && vm.second == m_settings.region;
+    });
+    return std::max(static_cast<std::size_t>(others) + 1, m_regionVmCount);
+}
+
+void TargetTable::updateColdShares(Time now)
+{
+    for (auto &[id, target] : m_targets) {
+        if (target->coldLimiter)
+            limitColdTarget(*target, now);
+    }
+}
+
+void TargetTable::limitColdTarget(TargetState &target, Time now)
+{
+    const auto service = m_services.find(target.registration.service);
+    if (service == m_services.end())
+        return;
+    const double rate = service->second.coldRequestsPerSecond;
+    if (rate <= 0) {
+        target.coldUntil = {};
+        target.coldLimiter.reset();
+        return;
+    }
+    const double share = rate / static_cast<double>(coldShareCount());
+    if (target.coldLimiter)
+        target.coldLimiter->setRate(share, now);
+    else
+        target.coldLimiter.emplace(share, now);
 }
 
 void TargetTable::expireLimits(Time now)
--- a/tests/TargetTableTest.cpp
+++ b/tests/TargetTableTest.cpp
@@ -130,6 +130,60 @@
     CHECK(fixture.targets.acquireColdPermit(*state, fixture.now + milliseconds(200)));
 }
 
+namespace {
+
+// How many requests a table sends to a cold target within a second.
+int permitsInASecond(TargetTable &targets, const std::string &id, Time from)
+{
+    int permits = 0;
+    for (int ms = 0; ms < 1000; ms += 10)
+        permits += targets.acquireColdPermit(*targets.find(id), from + milliseconds(ms));
+    return permits;
+}
+
+FleetConfig configWithColdRate()
+{
+    FleetConfig config;
+    Service service;
+    service.name = "gauge";
+    service.coldRequestsPerSecond = 12;
+    config.services.push_back(service);
+    return config;
+}
+
+} // namespace
+
+// Guards against the failure in review/5: VMs that restarted took the whole rate of a cold target
+// each, and no limit at all if the targets were listed before the configuration.
+TEST_CASE("a VM that starts takes a share of a cold target that is safe")
+{
+    EventLoop loop;
+    const EdgeSettings settings = settingsWithTwoRegions();
+    TargetTable targets{ loop, settings };
+    const Time now = loop.now();
+    targets.setFleet({}, now); // not known yet
+    RegisteredTarget cold = registration("i-1", "khomas-a");
+    cold.coldRemaining = seconds(30);
+    SUBCASE("if the targets are listed first")
+    {
+        targets.registerTarget(cold, now);
+        targets.setServices(configWithColdRate());
+    }
+    SUBCASE("if the configuration is listed first")
+    {
+        targets.setServices(configWithColdRate());
+        targets.registerTarget(cold, now);
+    }
+    CHECK(targets.isCold(*targets.find("i-1"), now));
+    CHECK(permitsInASecond(targets, "i-1", now) == 0);
+    // The registered VMs are known before the heartbeats of the others have arrived.
+    targets.setFleet({ { "vm-1", "khomas" }, { "vm-2", "khomas" }, { "vm-3", "khomas" } },
+                     now + seconds(1));
+    const int permits = permitsInASecond(targets, "i-1", now + seconds(1));
+    CHECK(permits >= 3);
+    CHECK(permits <= 4);
+}
+
 TEST_CASE("a cold target gets no requests from VMs of other regions")
 {
     TargetTableFixture fixture;
