--- a/src/edge/ForwardedRequest.h
+++ b/src/edge/ForwardedRequest.h
@@ -5,6 +5,7 @@
 #include "edge/ForwardingFields.h"
 #include "edge/HttpClientConnection.h"
 #include "edge/RoutingTable.h"
+#include "edge/SharedBody.h"
 #include "edge/WireNames.h"
 
 #include <cstdint>
@@ -41,7 +42,7 @@
 struct IncomingRequest
 {
     MessageHead head;
-    std::string body;
+    SharedBody body;
     Time connectedAt; // when the caller's connection was accepted
     Time receivedAt;  // when the first byte arrived
     ResponseSink sink;
@@ -52,12 +53,14 @@
 {
     MessageHead head;
     std::string body;           // buffered so far
+    MemoryCharge charge;        // of body
     bool notExecuted = false;   // the target reports that it did not execute the request
     bool isMisdirected = false; // the address belongs to another target
     // Has no request id although the connection was used before, so it may be a repetition of the
     // response to an earlier request.
     bool isUnidentified = false;
-    bool isStreaming = false;                 // the head was sent to the caller
+    bool isStreaming = false;   // the head was sent to the caller
+    bool isRunRecorded = false; // the run has ended for the target, which only has to send the rest
     std::optional<ForwardingOutcome> outcome; // as told by the peer that sent this response
 };
 
@@ -100,7 +103,8 @@
     std::vector<std::string> decliningTargets; // whose coordinators declined it
     Duration declineRetryAfter{ 0 };           // as told by the last of them
     bool isInFlight = false;                   // sent, or about to be sent on a new connection
-    bool isReadingPaused = false;              // because the caller reads too slowly
+    bool isReadingPaused = false;      // because the caller reads too slowly or for lack of memory
+    bool isDispatchedWhenNext = false; // waits until its response is the next of its connection
     Time sentAt;
     std::unique_ptr<HttpClientConnection> connection;
     bool isConnectionReused = false; // it carried earlier requests
@@ -112,13 +116,12 @@
     bool isIdempotent() const { return route->idempotence == Idempotence::Always; }
 };
 
-// Returns the request as sent to a target.
-std::string serializeTargetRequest(const ForwardedRequest &request, const WireNames &names,
-                                   Time now);
+// Returns the head of the request as sent to a target. The body is sent from where it is held.
+std::string serializeTargetHead(const ForwardedRequest &request, const WireNames &names, Time now);
 
-// Returns the request as sent to a peer, with what this VM has decided about it.
-std::string serializePeerRequest(const ForwardedRequest &request, const WireNames &names,
-                                 const ForwardingTerms &terms);
+// Returns the head of the request as sent to a peer, with what this VM has decided about it.
+std::string serializePeerHead(const ForwardedRequest &request, const WireNames &names,
+                              const ForwardingTerms &terms);
 
 // Returns the status line and header fields of a target's response for the caller. If the body size
 // is unknown, the response is chunked, or delimited by the end of the connection for HTTP/1.0.
--- a/src/edge/Forwarder.h
+++ b/src/edge/Forwarder.h
@@ -7,6 +7,7 @@
 #include "decide/access/AccessClient.h"
 #include "decide/access/AccessCoordinator.h"
 #include "decide/access/CoordinatorSelection.h"
+#include "decide/memory/MemoryBudget.h"
 #include "decide/placement/PlacedRunTimes.h"
 #include "decide/placement/RunTimeEstimator.h"
 #include "decide/placement/TargetChoice.h"
@@ -119,6 +120,9 @@
     QuotaManager &quotas() { return m_quotas; }
     const QuotaManager &quotas() const { return m_quotas; }
     const Metrics &metrics() const { return m_metrics; }
+    // The budget for what this VM holds for callers and targets.
+    MemoryBudget &memory() { return m_memory; }
+    const MemoryBudget &memory() const { return m_memory; }
     // The counters of requests forwarded to and taken for other VMs.
     std::string peerMetricsText() const
     {
@@ -165,8 +169,8 @@
     static int queuePriority(const Request &request);
     // Whether a request that would end at a time is refused instead of sent.
     bool isTooLate(const Request &request, Time end) const;
-    // Records a run that ended with a response, and the load that the response reports.
-    void recordRun(const Request &request, TargetState &target, Duration run);
+    // Records the run time of a request that was answered, in the estimates.
+    void recordRunTime(const Request &request, TargetState &target, Duration run);
     // Describes the load of each candidate for the log.
     std::string describeCandidates(const Request &request,
                                    const std::vector<TargetState *> &candidates,
@@ -177,7 +181,9 @@
     Time endOfService(Time deadline) const;
     void enqueue(Request &request, TargetState &target, Duration maxWait);
     void sendToTarget(Request &request, TargetState &target);
-    void beginExchange(Request &request, ConnectionPool::Lease lease, std::string bytes);
+    void beginExchange(Request &request, ConnectionPool::Lease lease, std::string head);
+    // Releases the body of a request that was sent, unless another attempt may need it.
+    void releaseSentBody(Request &request);
     // Forwards the request through a peer, or refuses it if no peer may take it. Returns false if
     // it is to be sent to a target directly.
     bool dispatchToPeer(Request &request);
@@ -257,6 +263,16 @@
     bool mayStream(const Request &request) const;
     void startStreaming(Request &request);
     void forwardBody(Request &request, std::string_view bytes);
+    // Counts a response that is buffered, and pauses reading it if the memory for it is used up.
+    void holdResponse(Request &request);
+    // Pauses reading a response until it is the next of its connection. Its run counts as ended, so
+    // that the requests before it cannot wait for its place at the target.
+    void pauseUntilNext(Request &request);
+    // Sends a request whose response was given up while it was paused only when it is the next, as
+    // it would be paused again.
+    void dispatchWhenNext(Request &request);
+    // Records the end of a run that was answered, once.
+    void recordRun(Request &request, TargetState &target);
     // The open requests whose responses are, or are not, being streamed.
     std::vector<RequestId> openRequestIds(bool streaming) const;
     // Ends the current attempt. Returns the connection to the pool unless the attempt was
@@ -284,6 +300,7 @@
     const EdgeSettings &m_settings;
     const WireNames &m_names;
     TargetTable &m_targets;
+    MemoryBudget m_memory;
     std::shared_ptr<RoutingTable> m_routing;
     std::unordered_map<RequestId, std::unique_ptr<Request>> m_requests;
     QuotaManager m_quotas;
--- a/src/edge/ForwarderChoice.cpp
+++ b/src/edge/ForwarderChoice.cpp
@@ -146,7 +146,7 @@
     return isPlacedByCompletion(request) && end > request.deadline;
 }
 
-void Forwarder::recordRun(const Request &request, TargetState &target, Duration run)
+void Forwarder::recordRunTime(const Request &request, TargetState &target, Duration run)
 {
     const Time now = m_loop.now();
     const std::string &kind = request.route->name;
--- a/src/edge/ForwarderPeers.cpp
+++ b/src/edge/ForwarderPeers.cpp
@@ -98,7 +98,7 @@
             << " region=" << peer.region << " route=" << request.route->name << " waited_ms="
             << std::chrono::duration_cast<milliseconds>(now - request.incoming.receivedAt).count();
     beginExchange(request, m_peerForwarding.start(peer),
-                  serializePeerRequest(request, m_names, terms));
+                  serializePeerHead(request, m_names, terms));
 }
 
 void Forwarder::moveToPeers()
@@ -133,7 +133,7 @@
     if (wasSent && (!isRepeatable || !acquireRetry(request, RetryReason::LostIdempotent)))
         return;
     endAttempt(request, true);
-    if (target != nullptr)
+    if (target != nullptr && !request.response.isRunRecorded)
         target->concurrencyLimiter.ended();
     request.mayHaveRun = request.mayHaveRun || wasSent;
     request.staysWithPeers = true;
--- a/src/edge/ForwarderTargets.cpp
+++ b/src/edge/ForwarderTargets.cpp
@@ -65,7 +65,7 @@
 {
     const Time now = m_loop.now();
     // A large response takes its time on the way, and a cold target is slow at first.
-    if (request.response.isStreaming || m_targets.isCold(target, now))
+    if (request.response.isStreaming || request.isReadingPaused || m_targets.isCold(target, now))
         return false;
     const std::string &kind = request.route->name;
     if (!isPlacedByCompletion(request))
