Decisions about second attempts of slow requests

Cause: 3 in 100 runs take seven times as long, and a slow target holds up every request that it got; a caller waits for one run however long it takes. RetryBudget has a withdrawal that leaves half of a burst to retries. Nothing uses these yet.

--- a/src/decide/ConcurrencyLimiter.cpp
+++ b/src/decide/ConcurrencyLimiter.cpp
@@ -101,6 +101,16 @@
     m_limit = std::max(1.0, m_limit * shedDecreaseFactor);
 }
 
+void ConcurrencyLimiter::cancelled(const std::string &kind, Duration ranFor, Time now)
+{
+    --m_inFlight;
+    const auto found = m_runTimesByKind.find(kind);
+    if (found == m_runTimesByKind.end() || toSeconds(ranFor) <= found->second.seconds)
+        return;
+    updateAverage(found->second.seconds, toSeconds(ranFor));
+    found->second.updatedAt = now;
+}
+
 void ConcurrencyLimiter::setSlots(int slots)
 {
     m_slots = std::max(1, slots);
--- a/src/decide/ConcurrencyLimiter.h
+++ b/src/decide/ConcurrencyLimiter.h
@@ -70,6 +70,9 @@
     void answered(const std::string &kind, Duration took, const std::optional<LoadReport> &load,
                   Time now);
     void shed();
+    // A run was cancelled, whose run time is at least this. It says something only where it exceeds
+    // the estimate.
+    void cancelled(const std::string &kind, Duration ranFor, Time now);
     // Called when a run ends without a response that tells anything about the target's load.
     void ended() { --m_inFlight; }
 
--- a/src/decide/RetryBudget.h
+++ b/src/decide/RetryBudget.h
@@ -18,14 +18,18 @@
     // Adds retries that may be spent before any request has arrived.
     void deposit(double retries) { m_balance = std::min(m_maxBalance, m_balance + retries); }
     void recordRequest() { m_balance = std::min(m_maxBalance, m_balance + m_retriesPerRequest); }
+    bool hasRetry() const { return m_balance >= 1; }
     // Takes one retry. Returns false if there is none.
     bool tryWithdraw()
     {
-        if (m_balance < 1)
+        if (!hasRetry())
             return false;
         m_balance -= 1;
         return true;
     }
+    // Takes one retry for a request that has not failed, if about half of the burst remains for
+    // those that have.
+    bool tryWithdrawSpare() { return m_balance >= (m_maxBalance + 1) / 2 && tryWithdraw(); }
 
 private:
     double m_retriesPerRequest = 0;
--- a/src/decide/RunTimeEstimator.cpp
+++ b/src/decide/RunTimeEstimator.cpp
@@ -22,6 +22,23 @@
     estimate.median *= sample > estimate.median ? 1 + medianStep : 1 - medianStep;
 }
 
+void RunTimeEstimator::recordCancelled(const std::string &kind, const std::string &region,
+                                       Duration ranFor)
+{
+    const auto regions = m_estimates.find(kind);
+    if (regions == m_estimates.end())
+        return;
+    const auto known = regions->second.find(region);
+    if (known == regions->second.end())
+        return;
+    const double bound = toSeconds(ranFor);
+    Estimate &estimate = known->second;
+    if (bound > estimate.average)
+        estimate.average += smoothingFactor * (bound - estimate.average);
+    if (bound > estimate.median)
+        estimate.median *= 1 + medianStep;
+}
+
 const RunTimeEstimator::Estimate *RunTimeEstimator::find(const std::string &kind,
                                                          std::string_view region) const
 {
--- a/src/decide/RunTimeEstimator.h
+++ b/src/decide/RunTimeEstimator.h
@@ -28,6 +28,9 @@
     static constexpr int slowRunFactor = 5;
 
     void record(const std::string &kind, const std::string &region, Duration run);
+    // Records a run that was cancelled, whose run time is at least this. It says something only
+    // where it exceeds the estimates.
+    void recordCancelled(const std::string &kind, const std::string &region, Duration ranFor);
     // Returns the typical run time in a region, or in the slowest known region if none is known
     // there; zero if no run of the kind has ended yet.
     Duration typicalRun(const std::string &kind, std::string_view region) const;
