--- a/src/edge/ForwarderResponses.cpp
+++ b/src/edge/ForwarderResponses.cpp
@@ -386,41 +386,6 @@
         sendQueued(*target);
 }
 
-std::vector<Forwarder::RequestId> Forwarder::openRequestIds(bool streaming) const
-{
-    std::vector<RequestId> ids;
-    for (const auto &[id, request] : m_requests) {
-        if (request->response.isStreaming == streaming)
-            ids.push_back(id);
-    }
-    return ids;
-}
-
-void Forwarder::endRequests()
-{
-    for (const RequestId id : openRequestIds(false)) {
-        const auto found = m_requests.find(id);
-        if (found == m_requests.end())
-            continue;
-        Request &request = *found->second;
-        request.mayHaveRun = request.mayHaveRun || request.isInFlight;
-        endAttempt(request, true);
-        refuse(request, request.mayHaveRun ? ErrorKind::UpstreamTimeout : ErrorKind::Leaving,
-               request.mayHaveRun ? Duration::zero() : defaultRetryAfter);
-    }
-}
-
-void Forwarder::truncateResponses()
-{
-    for (const RequestId id : openRequestIds(true)) {
-        const auto found = m_requests.find(id);
-        if (found == m_requests.end())
-            continue;
-        endAttempt(*found->second, true);
-        truncateResponse(*found->second);
-    }
-}
-
 void Forwarder::callerDisconnected(RequestId id)
 {
     const auto found = m_requests.find(id);
