Hedged requests: a second attempt while the first one runs unusually long

Change: ForwarderHedge.cpp starts the second attempt as a request of its own, whose sink passes its response on to the first one's caller. The response whose first byte is about to go to the caller wins; the other run is cancelled before. A failed second attempt ends silently; a failed first one waits for the second; both end with the caller, the deadline and the process. Requests of and through peers are not hedged. EdgeFixture takes the share as a further parameter and returns the metrics.

--- a/src/core/Metrics.cpp
+++ b/src/core/Metrics.cpp
@@ -130,7 +130,33 @@
         out << "basildeck_request_seconds_count{route=\"" << escapeLabel(route) << "\"} "
             << accumulators::count(accumulator) << '\n';
     }
+    writeHedges(out);
     return out.str();
 }
 
+void Metrics::writeHedges(std::ostream &out) const
+{
+    const auto write = [&](const char *name, const char *help, auto value) {
+        writeMetricHeader(out, name, "counter", help);
+        for (const auto &[route, hedges] : m_hedges)
+            out << name << "{route=\"" << escapeLabel(route) << "\"} " << value(hedges) << '\n';
+    };
+    if (!m_hedges.empty()) {
+        write("basildeck_hedges_started_total", "Second attempts started.",
+              [](const Hedges &hedges) { return hedges.started; });
+        write("basildeck_hedges_won_total", "Second attempts whose answer was used.",
+              [](const Hedges &hedges) { return hedges.won; });
+        write("basildeck_hedges_wasted_ms_total", "Run time of attempts whose answer was not used.",
+              [](const Hedges &hedges) {
+                  return std::chrono::duration_cast<milliseconds>(hedges.wasted).count();
+              });
+    }
+    if (m_hedgeDenials.empty())
+        return;
+    writeMetricHeader(out, "basildeck_hedges_denied_total", "counter",
+                      "Slow requests without a second attempt, by reason.");
+    for (const auto &[reason, count] : m_hedgeDenials)
+        out << "basildeck_hedges_denied_total{reason=\"" << reason << "\"} " << count << '\n';
+}
+
 } // namespace basildeck
--- a/src/core/Metrics.h
+++ b/src/core/Metrics.h
@@ -4,6 +4,7 @@
 #include "basildeck/Time.h"
 
 #include <cstdint>
+#include <iosfwd>
 #include <map>
 #include <memory>
 #include <string>
@@ -31,6 +32,13 @@
     void countRefusal(ErrorKind kind, const std::string &route, const std::string &organisation);
     void countRetry(RetryReason reason, const std::string &route, const std::string &organisation);
     void countTruncatedResponse(const std::string &route, const std::string &organisation);
+    // Second attempts that were started, and those whose response went to the caller.
+    void countHedge(const std::string &route) { ++m_hedges[route].started; }
+    void countHedgeWon(const std::string &route) { ++m_hedges[route].won; }
+    // The time that an attempt ran whose response was not used.
+    void addHedgeWaste(const std::string &route, Duration ran) { m_hedges[route].wasted += ran; }
+    // Requests that got no second attempt although they took long, by reason.
+    void countHedgeDenial(std::string_view reason) { ++m_hedgeDenials[std::string(reason)]; }
     void countLookup() { ++m_lookups; }
     // The latency is the time from the request's head to the end of the response.
     void recordLatency(const std::string &route, Duration latency);
@@ -40,7 +48,16 @@
     std::string prometheusText() const;
 
 private:
+    // Without any second attempts, there are no metrics of them.
+    void writeHedges(std::ostream &out) const;
+
     struct Latency;
+    struct Hedges
+    {
+        std::uint64_t started = 0;
+        std::uint64_t won = 0;
+        Duration wasted{ 0 };
+    };
     using RouteAndOrganisation = std::pair<std::string, std::string>;
 
     std::uint64_t m_lookups = 0;
@@ -49,6 +66,8 @@
     std::map<std::tuple<ErrorKind, std::string, std::string>, std::uint64_t> m_refusals;
     std::map<std::tuple<RetryReason, std::string, std::string>, std::uint64_t> m_retries;
     std::map<std::string, std::unique_ptr<Latency>> m_latencies;
+    std::map<std::string, Hedges> m_hedges; // by route
+    std::map<std::string, std::uint64_t> m_hedgeDenials;
 };
 
 } // namespace basildeck
--- a/src/edge/EdgeSettings.h
+++ b/src/edge/EdgeSettings.h
@@ -38,6 +38,7 @@
     std::uint16_t firstPeerPort = 0; // port range for UDP and TCP traffic between VMs
     std::uint16_t lastPeerPort = 0;
     std::size_t memoryBytes = 0;
+    int hedgePercent = 0; // of 100 requests, how many may get a second attempt while the first runs
     EdgeBounds bounds;
 
     // The addresses in use from the port range.
--- a/src/edge/ForwardedRequest.h
+++ b/src/edge/ForwardedRequest.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "basildeck/Time.h"
+#include "core/Metrics.h"
 #include "decide/ConcurrencyLimiter.h"
 #include "edge/ForwardingFields.h"
 #include "edge/HttpClientConnection.h"
@@ -59,6 +60,29 @@
     std::optional<ForwardingOutcome> outcome; // as told by the peer that sent this response
 };
 
+// The failure of a first attempt whose request waits for its second attempt.
+struct FailedFirstAttempt
+{
+    RetryReason reason; // of a retry, should the second attempt fail as well
+    ErrorKind kind;     // of the refusal, if there is no retry
+};
+
+// What links a request to its second attempt, which is a request of its own.
+struct HedgeLink
+{
+    // In the first request.
+    std::unique_ptr<Timer> timer; // starts the second attempt
+    Duration delay{ 0 };          // after which it starts
+    std::uint64_t second = 0;     // the open second attempt; 0 if there is none
+    bool isUsed = false;          // there is or was a second attempt
+    bool isSecondWinner = false;
+    std::optional<FailedFirstAttempt> failure;
+    // In the second one.
+    std::uint64_t first = 0;
+    // In both.
+    Duration expectedRun{ 0 }; // when it was sent; zero if it was unknown
+};
+
 // The state of a request that this VM forwards.
 struct ForwardedRequest
 {
@@ -98,7 +122,10 @@
     std::unique_ptr<Timer> deadlineTimer;
     std::unique_ptr<Timer> connectTimer;
     std::unique_ptr<Timer> queueTimer; // limits the time in the queue
+    HedgeLink hedge;
 
+    // Whether this is the second attempt of another request, to which its response goes.
+    bool isSecondAttempt() const { return hedge.first != 0; }
     bool isIdempotent() const { return route->idempotence == Idempotence::Always; }
 };
 
--- a/src/edge/Forwarder.cpp
+++ b/src/edge/Forwarder.cpp
@@ -54,6 +54,7 @@
                    })
     , m_peerForwarding(loop, settings.vmName, settings.region)
 {
+    m_hedges.setPercent(settings.hedgePercent);
     m_targets.setOnUnavailable([this](TargetState &target) { redispatchQueued(target); });
 }
 
@@ -325,6 +326,7 @@
     target.concurrencyLimiter.started();
     m_targets.partitionDetector().recordSent(target.place(), now);
     m_crashQuarantine.runStarted(request.fingerprint);
+    armHedge(request, target);
     beginExchange(request, target.connections.acquire(now),
                   serializeTargetRequest(request, m_names, now));
 }
@@ -372,6 +374,8 @@
 void Forwarder::refuse(Request &request, ErrorKind kind, Duration retryAfter,
                        const std::string &detail)
 {
+    if (endSecondAttempt(request))
+        return;
     const Time now = m_loop.now();
     // An earlier attempt may have been executed, so the refusal must not claim the opposite.
     if (request.mayHaveRun && errorResponse(kind).run == RunState::NotRun)
@@ -419,6 +423,7 @@
 {
     if (request.isWaitingForToken)
         m_quotas.cancel(request.id);
+    cancelHedge(request, HedgeEnd::FirstWon);
     request.deadlineTimer.reset();
     request.queueTimer.reset();
     request.connectTimer.reset();
--- a/src/edge/Forwarder.h
+++ b/src/edge/Forwarder.h
@@ -6,6 +6,7 @@
 #include "decide/RetryBudget.h"
 #include "decide/RunTimeEstimator.h"
 #include "decide/ShutdownSchedule.h"
+#include "decide/hedge/HedgePolicy.h"
 #include "edge/ForwardedRequest.h"
 #include "edge/PeerForwarding.h"
 #include "edge/PeerIntake.h"
@@ -192,6 +193,38 @@
     void endAttempt(Request &request, bool cancelled);
     bool acquireRetry(const Request &request, RetryReason reason);
 
+    // Second attempts (hedged requests). A second attempt is a request of its own, whose response
+    // goes to the first one's caller. It ends with the first request.
+
+    // Starts the timer of the second attempt of a request that is being sent, if it may get one.
+    void armHedge(Request &request, const TargetState &target);
+    // The run time from which the delay of the second attempt follows; zero if it is unknown.
+    Duration hedgeExpectedRun(const Request &request, const TargetState &target);
+    void handleHedgeTimer(Request &first);
+    std::optional<HedgeDenial> startHedge(Request &first);
+    TargetState *chooseHedgeTarget(const Request &first);
+    void sendSecondAttempt(Request &first, TargetState &target);
+    ResponseSink makeHedgeSink(RequestId first);
+    // Returns null if the request has ended.
+    Request *findRequest(RequestId id) const;
+    // Called before the first byte of a target's response goes to the caller: ends the other
+    // attempt. Returns false if the response is not to be used, because it is that of a second
+    // attempt and worse than waiting for the first.
+    bool claimResponse(Request &request);
+    // Whether a response may decide which attempt wins.
+    bool mayWin(const Request &request) const;
+    // Leaves the request to its second attempt if there is one, because the first one failed.
+    bool leaveToSecondAttempt(Request &request, RetryReason reason, ErrorKind kind);
+    // Ends a second attempt instead of refusing it. Returns false for other requests.
+    bool endSecondAttempt(Request &request);
+    // Cancels the second attempt of a request, if there is one.
+    void cancelHedge(Request &first, HedgeEnd end);
+    // Cancels a run at its target. Returns how long it went on.
+    Duration cancelRun(Request &request);
+    // Notes what a complete run tells about run times and load.
+    void recordRun(const Request &request, Duration run, Time now);
+    void logHedge(const Request &first, const Request &second, HedgeEnd end, Duration wasted);
+
     // The number of unused retries that this VM may accumulate.
     double retryBurst() const;
     // When a refused request is worth another try: the end of the hold-off if all its targets want
@@ -221,6 +254,7 @@
     std::optional<ShutdownSchedule> m_shutdown;
     RunTimeEstimator m_runTimeEstimator;
     CrashQuarantine m_crashQuarantine;
+    HedgePolicy m_hedges;
     std::function<void(const CrashReport &)> m_onCrash;
     std::function<void()> m_onTokensNeeded;
     std::function<void(const TargetReport &)> m_onTargetTrouble;
--- a/src/edge/ForwarderChecks.cpp
+++ b/src/edge/ForwarderChecks.cpp
@@ -97,6 +97,7 @@
                       : stableHash(request.callerRequestId, std::to_string(request.id));
     m_metrics.countRequest(route.name, organisationName(request));
     m_retryBudgets[request.service].recordRequest();
+    m_hedges.recordRequest(request.service);
     startDeadlineTimer(request);
 }
 
--- a/src/edge/ForwarderPeers.cpp
+++ b/src/edge/ForwarderPeers.cpp
@@ -41,7 +41,7 @@
 
 bool Forwarder::isForwardable(const Request &request) const
 {
-    return request.takenFor.empty() && m_peerForwarding.isActive()
+    return request.takenFor.empty() && !request.isSecondAttempt() && m_peerForwarding.isActive()
            && m_peerForwarding.choose(request) != nullptr;
 }
 
@@ -131,6 +131,7 @@
     const bool isRepeatable = request.isIdempotent() && request.takenFor.empty() && isLost;
     if (wasSent && (!isRepeatable || !acquireRetry(request, RetryReason::LostIdempotent)))
         return;
+    cancelHedge(request, HedgeEnd::Partitioned);
     endAttempt(request, true);
     if (target != nullptr)
         target->concurrencyLimiter.ended();
--- a/src/edge/ForwarderResponses.cpp
+++ b/src/edge/ForwarderResponses.cpp
@@ -119,7 +119,7 @@
 {
     const HeaderFields &fields = request.response.head.fields;
     return isTargetResponse(request) && fields.find(m_names.responseSeal) != nullptr
-           && fields.find("content-encoding") == nullptr;
+           && fields.find("content-encoding") == nullptr && mayWin(request);
 }
 
 void Forwarder::responseIsNext(RequestId id)
@@ -131,10 +131,13 @@
     if (!request.response.isStreaming && request.response.body.size() > maxBufferedResponseBytes
         && mayStream(request))
         startStreaming(request);
+    if (request.hedge.second != 0)
+        responseIsNext(request.hedge.second);
 }
 
 void Forwarder::startStreaming(Request &request)
 {
+    claimResponse(request);
     request.response.isStreaming = true;
     const auto length = request.response.head.contentLength;
     request.incoming.sink.head(serializeResponseHead(
@@ -162,6 +165,8 @@
 void Forwarder::callerOutputDrained(RequestId id)
 {
     const auto found = m_requests.find(id);
+    if (found != m_requests.end() && found->second->hedge.second != 0)
+        callerOutputDrained(found->second->hedge.second);
     if (found == m_requests.end() || !found->second->isReadingPaused)
         return;
     found->second->isReadingPaused = false;
@@ -175,6 +180,7 @@
         return;
     request.isInFlight = false;
     request.connectTimer.reset();
+    request.hedge.timer.reset();
     if (!request.peer.empty()) {
         if (cancelled && request.connection) {
             request.connection->close();
@@ -237,7 +243,13 @@
         target->outlierDetector.recordSuccess();
         target->lostRuns.clear();
     }
+    recordRun(request, runDuration, now);
     m_crashQuarantine.clearSuspicion(request.fingerprint);
+    if (!claimResponse(request)) {
+        if (target != nullptr)
+            sendQueued(*target);
+        return;
+    }
     if (request.response.isStreaming) {
         if (!head.contentLength && !request.incoming.head.isHttp10)
             request.incoming.sink.body("0\r\n\r\n");
@@ -290,13 +302,16 @@
             recordTargetFailure(*target, request.sentAt);
         } else {
             target->concurrencyLimiter.shed();
+            m_hedges.recordRejection(request.service, m_loop.now());
         }
     }
-    if (acquireRetry(request, RetryReason::Shed))
-        dispatch(request);
-    else
-        refuse(request, request.mayHaveRun ? ErrorKind::UpstreamLost : ErrorKind::TargetsShed,
-               request.mayHaveRun ? Duration::zero() : retryAfter(request, defaultRetryAfter));
+    if (!leaveToSecondAttempt(request, RetryReason::Shed, ErrorKind::TargetsShed)) {
+        if (acquireRetry(request, RetryReason::Shed))
+            dispatch(request);
+        else
+            refuse(request, request.mayHaveRun ? ErrorKind::UpstreamLost : ErrorKind::TargetsShed,
+                   request.mayHaveRun ? Duration::zero() : retryAfter(request, defaultRetryAfter));
+    }
     if (target != nullptr)
         sendQueued(*target);
 }
@@ -328,23 +343,23 @@
         }
     }
     request.mayHaveRun = request.mayHaveRun || wasSent;
+    const RetryReason reason = wasSent ? RetryReason::LostIdempotent : RetryReason::ConnectFailed;
+    const ErrorKind kind = !request.mayHaveRun                     ? ErrorKind::ConnectFailed
+                           : failure == ExchangeFailure::Malformed ? ErrorKind::AnswerInvalid
+                                                                   : ErrorKind::UpstreamLost;
     if (request.response.isStreaming) {
         truncateResponse(request);
+    } else if (leaveToSecondAttempt(request, reason, kind)) {
+        // Its second attempt goes on.
     } else if (!wasSent && isForwardable(request)) {
         // Nothing was sent, and the target is not at fault.
         --request.attemptCount;
         request.triedTargets.pop_back();
         request.staysWithPeers = true;
         dispatch(request);
-    } else if ((!wasSent || request.isIdempotent())
-               && acquireRetry(request, wasSent ? RetryReason::LostIdempotent
-                                                : RetryReason::ConnectFailed)) {
+    } else if ((!wasSent || request.isIdempotent()) && acquireRetry(request, reason)) {
         dispatch(request);
     } else {
-        const ErrorKind kind = request.mayHaveRun ? (failure == ExchangeFailure::Malformed
-                                                             ? ErrorKind::AnswerInvalid
-                                                             : ErrorKind::UpstreamLost)
-                                                  : ErrorKind::ConnectFailed;
         refuse(request, kind, request.mayHaveRun ? Duration::zero() : defaultRetryAfter);
     }
     if (target != nullptr)
@@ -363,6 +378,7 @@
 
 void Forwarder::handleDeadline(Request &request)
 {
+    cancelHedge(request, HedgeEnd::Deadline);
     TargetState *target = m_targets.find(request.targetId);
     if (request.isQueued && target != nullptr)
         target->concurrencyLimiter.cancel(request.id);
@@ -399,6 +415,7 @@
                                  << shutdownTimeline(request);
     if (request.isQueued && target != nullptr)
         target->concurrencyLimiter.cancel(id);
+    cancelHedge(request, HedgeEnd::CallerLeft);
     const bool wasRunning = request.isInFlight;
     endAttempt(request, true);
     if (wasRunning && target != nullptr)
--- a/src/edge/ForwarderShutdown.cpp
+++ b/src/edge/ForwarderShutdown.cpp
@@ -27,6 +27,10 @@
         if (found == m_requests.end())
             continue;
         Request &request = *found->second;
+        // It ends with the first attempt.
+        if (request.isSecondAttempt())
+            continue;
+        cancelHedge(request, HedgeEnd::Leaving);
         request.mayHaveRun = request.mayHaveRun || request.isInFlight;
         endAttempt(request, true);
         refuse(request, request.mayHaveRun ? ErrorKind::UpstreamTimeout : ErrorKind::Leaving,
--- a/src/edge/TargetTable.h
+++ b/src/edge/TargetTable.h
@@ -5,6 +5,7 @@
 #include "decide/OutlierDetector.h"
 #include "decide/Placement.h"
 #include "decide/TargetPartitionDetector.h"
+#include "decide/hedge/ReportedLoad.h"
 #include "edge/ConnectionPool.h"
 #include "edge/EdgeSettings.h"
 #include "edge/FleetObjects.h"
@@ -48,6 +49,7 @@
     bool isCrashReportHeld = false; // until it is known whether this VM is partitioned
     std::optional<Time> removeAt;   // set if its entry expired during a store outage
     TargetNotice notice;
+    ReportedLoad reportedLoad; // recorded only if second attempts are enabled
 };
 
 // All registered targets and their state as observed by this VM.
--- a/tests/EdgeFixture.cpp
+++ b/tests/EdgeFixture.cpp
@@ -65,9 +65,10 @@
 }
 
 EdgeFixture::EdgeFixture(std::size_t targetCount, int slots, const std::string &vm,
-                         const std::string &region)
+                         const std::string &region, int hedgePercent)
 {
     m_settings.vmName = vm;
+    m_settings.hedgePercent = hedgePercent;
     m_settings.region = region;
     m_settings.zone = "north-a";
     m_settings.zoneRegions = { { "north-a", "north" } };
@@ -187,6 +188,13 @@
     return text;
 }
 
+std::string EdgeFixture::metrics()
+{
+    std::string text;
+    runOnLoop([&] { text = m_forwarder->metrics().prometheusText(); });
+    return text;
+}
+
 void EdgeFixture::removeRoute(const std::string &prefix)
 {
     runOnLoop([&] {
--- a/tests/EdgeFixture.h
+++ b/tests/EdgeFixture.h
@@ -26,7 +26,7 @@
     static constexpr const char *homeRegion = "north";
 
     explicit EdgeFixture(std::size_t targetCount = 1, int slots = 4, const std::string &vm = "vm-1",
-                         const std::string &region = homeRegion);
+                         const std::string &region = homeRegion, int hedgePercent = 0);
     ~EdgeFixture();
     EdgeFixture(const EdgeFixture &) = delete;
     EdgeFixture &operator=(const EdgeFixture &) = delete;
@@ -46,6 +46,7 @@
     void setPartitioned(bool isPartitioned);
     void setForwardingPeers(std::vector<ForwardingPeer> peers);
     std::string peerMetrics();
+    std::string metrics();
     // The edge knows another configuration from now on, without the route of a prefix.
     void removeRoute(const std::string &prefix);
     // Sets whether another VM grants a loan of one quota token per organisation when the edge
