--- a/src/decide/placement/TargetLoad.cpp
+++ b/src/decide/placement/TargetLoad.cpp
@@ -14,6 +14,7 @@
 {
     m_reportFactor = factorOf(report);
     m_speedPercent = report.speedPercent;
+    m_isQueueing = report.waiting > 0;
     m_reportedAt = now;
 }
 
--- a/src/decide/placement/TargetLoad.h
+++ b/src/decide/placement/TargetLoad.h
@@ -36,12 +36,15 @@
 
     // The factor by which runs that start now are expected to take longer than usual.
     double factor(Time now) const;
+    // Whether requests waited at the target, going by its last report.
+    bool isQueueing(Time now) const { return m_isQueueing && now - m_reportedAt < reportLifetime; }
     // The speed last reported if it still carries information, in percent.
     std::optional<int> speedPercent(Time now) const;
 
 private:
     double m_reportFactor = 1;
     std::optional<int> m_speedPercent;
+    bool m_isQueueing = false;
     Time m_reportedAt{};
     double m_runRatio = 1;
     Time m_ranAt{};
--- a/src/edge/EdgeSettings.h
+++ b/src/edge/EdgeSettings.h
@@ -40,6 +40,7 @@
     std::uint16_t lastPeerPort = 0;
     std::size_t memoryBytes = 0;
     VmCapacity capacity;
+    int hedgePercent = 0; // of 100 requests, how many may get a second attempt while the first runs
     EdgeBounds bounds;
 
     // The addresses in use from the port range.
--- a/src/edge/Forwarder.h
+++ b/src/edge/Forwarder.h
@@ -7,6 +7,7 @@
 #include "decide/access/AccessClient.h"
 #include "decide/access/AccessCoordinator.h"
 #include "decide/access/CoordinatorSelection.h"
+#include "decide/hedge/HedgePolicy.h"
 #include "decide/memory/MemoryBudget.h"
 #include "decide/placement/PlacedRunTimes.h"
 #include "decide/placement/RunTimeEstimator.h"
@@ -207,6 +208,8 @@
     // Asks the target's coordinator for a permit. Returns false if the request is to be sent
     // without one.
     bool requestPermit(Request &request, TargetState &target, Duration maxWait);
+    // Goes on with a request that did not get the permit that it waited for.
+    void dispatchWithoutPermit(Request &request);
     // Takes the target's speed from a coordinator's reply, which knows the latest report.
     void noteReply(const AccessClient::Answer &answer, const PermitReply &reply);
     // Removes the targets whose coordinators declined a request from its candidates. Returns true
@@ -280,6 +283,36 @@
     void endAttempt(Request &request, bool cancelled);
     bool acquireRetry(const Request &request, RetryReason reason);
 
+    // Second attempts (hedged requests). A second attempt is a request of its own, whose response
+    // goes to the first one's caller. It ends with the first request.
+
+    // Starts the timer of the second attempt of a request that is being sent, if it may get one.
+    void armHedge(Request &request, const TargetState &target);
+    void handleHedgeTimer(Request &first);
+    std::optional<HedgeDenial> startHedge(Request &first);
+    TargetState *chooseHedgeTarget(const Request &first);
+    void sendSecondAttempt(Request &first, TargetState &target);
+    ResponseSink makeHedgeSink(RequestId first);
+    // Returns null if the request has ended.
+    Request *findRequest(RequestId id) const;
+    // Called before the first byte of a target's response goes to the caller: ends the other
+    // attempt. Returns false if the response is not to be used, because it is that of a second
+    // attempt and worse than waiting for the first.
+    bool claimResponse(Request &request);
+    // Whether a response may decide which attempt wins.
+    bool mayWin(const Request &request) const;
+    // Leaves the request to its second attempt if there is one, because the first one failed.
+    bool leaveToSecondAttempt(Request &request, RetryReason reason, ErrorKind kind);
+    // Ends a second attempt instead of refusing it. Returns false for other requests.
+    bool endSecondAttempt(Request &request);
+    // Cancels the second attempt of a request, if there is one.
+    void cancelHedge(Request &first, HedgeEnd end);
+    // Cancels a run at its target. Returns how long it went on.
+    Duration cancelRun(Request &request);
+    // Notes what a complete run tells about run times and load.
+    void recordHedgeSample(const Request &request, Duration run, Time now);
+    void logHedge(const Request &first, const Request &second, HedgeEnd end, Duration wasted);
+
     // The number of unused retries that this VM may accumulate.
     double retryBurst() const;
     // When a refused request is worth another try: the end of the hold-off if all its targets want
@@ -312,6 +345,7 @@
     PlacedRunTimes m_placedRunTimes; // of services that are placed by completion
     PlacementCounters m_placementCounters;
     CrashQuarantine m_crashQuarantine;
+    HedgePolicy m_hedges;
     std::function<void(const CrashReport &)> m_onCrash;
     std::function<void()> m_onTokensNeeded;
     std::function<void(const TargetReport &)> m_onTargetTrouble;
--- a/src/edge/ForwarderAccess.cpp
+++ b/src/edge/ForwarderAccess.cpp
@@ -133,7 +133,7 @@
         if (found == m_requests.end() || !found->second->isWaitingForPermit)
             continue;
         releasePermit(*found->second);
-        dispatch(*found->second);
+        dispatchWithoutPermit(*found->second);
     }
 }
 
@@ -199,7 +199,7 @@
         BASILDECK_INFO(logComponent) << "permit declined request=" << request.callerRequestId
                                      << " target=" << request.targetId
                                      << " retry_after_ms=" << toMilliseconds(answer.retryAfter);
-        dispatch(request);
+        dispatchWithoutPermit(request);
         return;
     }
     const auto endsInTime = [&] {
@@ -209,13 +209,20 @@
     const bool isUsable = target != nullptr && m_targets.isEligible(*target, now) && endsInTime();
     if (!isUsable) {
         releasePermit(request);
-        dispatch(request);
+        dispatchWithoutPermit(request);
         return;
     }
     request.isWaitingForPermit = false;
     sendToTarget(request, *target);
 }
 
+void Forwarder::dispatchWithoutPermit(Request &request)
+{
+    // A second attempt goes to the target that was chosen for it, or nowhere.
+    if (!endSecondAttempt(request))
+        dispatch(request);
+}
+
 void Forwarder::startAccessTimer()
 {
     if (!std::exchange(m_isAccessTimerActive, true))
@@ -245,7 +252,7 @@
                 << "coordinator did not reply request=" << request.callerRequestId
                 << " target=" << request.targetId << " coordinator=" << release.coordinator
                 << " local=" << m_accessClient.decidesLocally(release.coordinator, now);
-        dispatch(request);
+        dispatchWithoutPermit(request);
     }
     if (m_accessClient.isWaiting() || m_accessCoordinator.isActive())
         startAccessTimer();
--- a/src/edge/ForwarderMemory.cpp
+++ b/src/edge/ForwarderMemory.cpp
@@ -89,6 +89,8 @@
     if (found == m_requests.end())
         return;
     Request &request = *found->second;
+    if (request.hedge.second != 0)
+        responseIsNext(request.hedge.second);
     if (std::exchange(request.isDispatchedWhenNext, false)) {
         dispatch(request);
         return;
@@ -104,6 +106,7 @@
 
 void Forwarder::startStreaming(Request &request)
 {
+    claimResponse(request);
     request.response.isStreaming = true;
     const auto length = request.response.head.contentLength;
     request.incoming.sink.head(serializeResponseHead(
@@ -133,6 +136,8 @@
 void Forwarder::callerOutputDrained(RequestId id)
 {
     const auto found = m_requests.find(id);
+    if (found != m_requests.end() && found->second->hedge.second != 0)
+        callerOutputDrained(found->second->hedge.second);
     // A response that waits for earlier ones stays paused.
     if (found == m_requests.end() || !found->second->isReadingPaused
         || !found->second->incoming.sink.isNext())
--- a/src/edge/ForwarderResponses.cpp
+++ b/src/edge/ForwarderResponses.cpp
@@ -81,7 +81,7 @@
 {
     const HeaderFields &fields = request.response.head.fields;
     return isTargetResponse(request) && fields.find(m_names.responseSeal) != nullptr
-           && fields.find("content-encoding") == nullptr;
+           && fields.find("content-encoding") == nullptr && mayWin(request);
 }
 
 void Forwarder::endAttempt(Request &request, bool cancelled)
@@ -90,6 +90,7 @@
         return;
     request.isInFlight = false;
     request.connectTimer.reset();
+    request.hedge.timer.reset();
     if (std::exchange(request.isReadingPaused, false) && request.connection)
         request.connection->setReading(true);
     if (!request.peer.empty()) {
@@ -150,7 +151,13 @@
     endAttempt(request, false);
     if (target != nullptr)
         recordRun(request, *target);
+    recordHedgeSample(request, runDuration, now);
     m_crashQuarantine.clearSuspicion(request.fingerprint);
+    if (!claimResponse(request)) {
+        if (target != nullptr)
+            sendQueued(*target);
+        return;
+    }
     if (request.response.isStreaming) {
         if (!head.contentLength && !request.incoming.head.isHttp10)
             request.incoming.sink.body("0\r\n\r\n");
@@ -215,13 +222,16 @@
             recordTargetFailure(*target, request.sentAt);
         } else {
             target->concurrencyLimiter.shed();
+            m_hedges.recordRejection(request.service, m_loop.now());
         }
     }
-    if (acquireRetry(request, RetryReason::Shed))
-        dispatch(request);
-    else
-        refuse(request, request.mayHaveRun ? ErrorKind::UpstreamLost : ErrorKind::TargetsShed,
-               request.mayHaveRun ? Duration::zero() : retryAfter(request, defaultRetryAfter));
+    if (!leaveToSecondAttempt(request, RetryReason::Shed, ErrorKind::TargetsShed)) {
+        if (acquireRetry(request, RetryReason::Shed))
+            dispatch(request);
+        else
+            refuse(request, request.mayHaveRun ? ErrorKind::UpstreamLost : ErrorKind::TargetsShed,
+                   request.mayHaveRun ? Duration::zero() : retryAfter(request, defaultRetryAfter));
+    }
     if (target != nullptr)
         sendQueued(*target);
 }
@@ -255,26 +265,26 @@
         }
     }
     request.mayHaveRun = request.mayHaveRun || wasSent;
+    const RetryReason reason = wasSent ? RetryReason::LostIdempotent : RetryReason::ConnectFailed;
+    const ErrorKind kind = !request.mayHaveRun                     ? ErrorKind::ConnectFailed
+                           : failure == ExchangeFailure::Malformed ? ErrorKind::AnswerInvalid
+                                                                   : ErrorKind::UpstreamLost;
     if (request.response.isStreaming) {
         truncateResponse(request);
+    } else if (leaveToSecondAttempt(request, reason, kind)) {
+        // Its second attempt goes on.
     } else if (!wasSent && isForwardable(request)) {
         // Nothing was sent, and the target is not at fault.
         --request.attemptCount;
         request.triedTargets.pop_back();
         request.staysWithPeers = true;
         dispatch(request);
-    } else if ((!wasSent || request.isIdempotent())
-               && acquireRetry(request, wasSent ? RetryReason::LostIdempotent
-                                                : RetryReason::ConnectFailed)) {
+    } else if ((!wasSent || request.isIdempotent()) && acquireRetry(request, reason)) {
         if (wasPaused)
             dispatchWhenNext(request);
         else
             dispatch(request);
     } else {
-        const ErrorKind kind = request.mayHaveRun ? (failure == ExchangeFailure::Malformed
-                                                             ? ErrorKind::AnswerInvalid
-                                                             : ErrorKind::UpstreamLost)
-                                                  : ErrorKind::ConnectFailed;
         refuse(request, kind, request.mayHaveRun ? Duration::zero() : defaultRetryAfter);
     }
     if (target != nullptr)
@@ -294,6 +304,7 @@
 
 void Forwarder::handleDeadline(Request &request)
 {
+    cancelHedge(request, HedgeEnd::Deadline);
     TargetState *target = m_targets.find(request.targetId);
     if (request.isQueued && target != nullptr)
         target->concurrencyLimiter.cancel(request.id);
@@ -330,6 +341,7 @@
                                  << shutdownTimeline(request);
     if (request.isQueued && target != nullptr)
         target->concurrencyLimiter.cancel(id);
+    cancelHedge(request, HedgeEnd::CallerLeft);
     const bool wasRunning = request.isInFlight;
     endAttempt(request, true);
     if (wasRunning && target != nullptr && !request.response.isRunRecorded)
--- a/tests/EdgeFixture.cpp
+++ b/tests/EdgeFixture.cpp
@@ -65,10 +65,11 @@
 }
 
 EdgeFixture::EdgeFixture(std::size_t targetCount, int slots, const std::string &vm,
-                         const std::string &region, std::size_t memoryBytes)
+                         const std::string &region, std::size_t memoryBytes, int hedgePercent)
 {
     m_settings.memoryBytes = memoryBytes;
     m_settings.vmName = vm;
+    m_settings.hedgePercent = hedgePercent;
     m_settings.region = region;
     m_settings.zone = "north-a";
     m_settings.zoneRegions = { { "north-a", "north" } };
@@ -202,6 +203,13 @@
     return text;
 }
 
+std::string EdgeFixture::metrics()
+{
+    std::string text;
+    runOnLoop([&] { text = m_forwarder->metrics().prometheusText(); });
+    return text;
+}
+
 void EdgeFixture::removeRoute(const std::string &prefix)
 {
     runOnLoop([&] {
