--- a/tests/HedgeTest.cpp
+++ b/tests/HedgeTest.cpp
@@ -1,7 +1,7 @@
 #include "decide/ConcurrencyLimiter.h"
 #include "decide/OutlierDetector.h"
-#include "decide/RunTimeEstimator.h"
 #include "decide/hedge/HedgePolicy.h"
+#include "decide/placement/RunTimeEstimator.h"
 #include "decide/placement/TargetLoad.h"
 
 #include <doctest/doctest.h>
