--- a/tools/soak/SoakTargets.cpp
+++ b/tools/soak/SoakTargets.cpp
@@ -46,6 +46,17 @@
     sink.finish(false);
 }
 
+// The targets of the usual services report how long work takes on their machines, another figure
+// each time, so that VMs place by completion and ask for permits there. The others do not.
+std::string speedFigure(const std::string &service)
+{
+    if (service == SoakTargets::longService)
+        return {};
+    static constexpr std::array<const char *, 5> figures = { ",100", ",250", ",100", ",x", "" };
+    static std::size_t count = 0;
+    return figures[count++ % figures.size()];
+}
+
 } // namespace
 
 SoakTargets::SoakTargets(EventLoop &loop, SoakStore &store, std::mt19937_64 &random)
@@ -284,8 +295,9 @@
     if (target.service == longService)
         body.append(static_cast<std::size_t>(pathNumber(request.head.request.target, 1)), 'r');
     const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nResponse-Seal: s-" + id
-                             + "\r\nServer-Load: " + std::to_string(target.runningRequests)
-                             + ",0,4\r\n" + noticeFields(target, id);
+                             + "\r\nServer-Load: " + std::to_string(target.runningRequests) + ",0,"
+                             + std::to_string(target.slots) + speedFigure(target.service) + "\r\n"
+                             + noticeFields(target, id);
     if (mode == TargetMode::CutHeads) {
         // An interim response in front, because a sink sends whole heads only.
         sink.head("HTTP/1.1 100 Continue\r\n");
