--- a/src/decide/PeerTable.cpp
+++ b/src/decide/PeerTable.cpp
@@ -235,6 +235,7 @@
     if (!std::all_of(entries.begin(), entries.end(), isElsewhere))
         std::erase_if(entries, isElsewhere);
     std::vector<VmCapacity> capacities;
+    capacities.reserve(entries.size());
     for (const DirectoryEntry &entry : entries)
         capacities.push_back(entry.capacity);
     const std::vector<bool> isNamed = LargeVmSelection::select(capacities);
--- a/src/decide/directory/VmCapacity.cpp
+++ b/src/decide/directory/VmCapacity.cpp
@@ -6,7 +6,7 @@
 
 std::vector<bool> LargeVmSelection::select(const std::vector<VmCapacity> &vms)
 {
-    const std::vector<bool> all(vms.size(), true);
+    std::vector<bool> all(vms.size(), true);
     if (vms.empty() || !std::all_of(vms.begin(), vms.end(), [](const VmCapacity &capacity) {
             return capacity.isKnown();
         }))
