Do not complete a response whose attempt was given up by its body

Seen by callers: "HTTP/1.1 0 <unknown>" without a body, while the retry of the request ran at another target and was cancelled there.

Cause: a body that cannot be passed on ends the attempt from within the parser's callback when it exceeds 256 KiB, and the request is sent again at once. If the end of the same response, or bytes that are no valid chunk, had arrived with the same read, HttpClientConnection went on and reported the exchange as complete, or as failed once more. The callback refers to the request, so this ended the retry.

Change: nothing is reported for an exchange that one of its callbacks has ended.

Evidence: "a response that ends right after it became too large is retried once" failed before (the caller received status 0; no request arrived at the second target) and passes now. Ruled out: the retry's own connection, which is a new one. Found while reading for endless bytes; JsonHttpClient ends exchanges in the same way.

--- a/src/edge/HttpClientConnection.cpp
+++ b/src/edge/HttpClientConnection.cpp
@@ -132,6 +132,8 @@
     while (m_active && !bytes.empty()) {
         const std::size_t consumed = m_parser.feed(bytes);
         bytes.remove_prefix(std::min(consumed, bytes.size()));
+        if (!m_active)
+            return; // ended by a callback
         if (m_discarding)
             m_discardedBytes += consumed;
         if (m_parser.parseError() != HttpParser::ParseError::None
--- a/tests/EndlessResponseTest.cpp
+++ b/tests/EndlessResponseTest.cpp
@@ -48,6 +48,39 @@
     }
 }
 
+// An attempt that was given up because of its body was completed as well if the end of the response
+// had arrived with the same bytes: the caller was answered with status 0 while its retry ran.
+TEST_CASE("a response that ends right after it became too large is retried once")
+{
+    const std::string object = "Cookie: Affinity-Key=3\r\n";
+    const auto get = [&](const std::string &id) {
+        return EdgeFixture::request("GET", "/safe/" + id, id, object);
+    };
+    const std::string noSeal = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n";
+    const std::string body(Forwarder::maxUnforwardedBodyBytes + 1, 'x');
+    const std::string length = "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+    for (const std::string &response :
+         { noSeal + length + body, noSeal + "\r\n" + body,
+           noSeal + "Transfer-Encoding: chunked\r\n\r\n40001\r\n" + body + "\r\nno chunk" }) {
+        CAPTURE(response.substr(0, 80));
+        EdgeFixture fixture(2);
+        const std::size_t first = fixture.targetOf("/safe/", "3");
+        auto caller = fixture.sendAsCaller(get("r1") + get("r2"));
+        auto faulty = fixture.awaitRequest(first);
+        auto second = fixture.awaitRequest(first);
+        faulty.socket->send(response);
+        auto retried = fixture.awaitRequest(1 - first);
+        CHECK(retried.socket->send(EdgeFixture::sealedResponse("r1", "one")));
+        CHECK(second.socket->send(EdgeFixture::sealedResponse("r2", "two")));
+        for (const char *expected : { "one", "two" }) {
+            const auto answer = standin::readResponse(*caller);
+            REQUIRE(answer);
+            CHECK(answer->head.status() == 200);
+            CHECK(answer->body == expected);
+        }
+    }
+}
+
 TEST_SUITE_END();
 
 } // namespace basildeck::test
