Limit the number of fields of a head

Reported from systems like this one: bytes that are no answer, without end, in a head; the VM that had asked kept them.

Cause: a head was limited to 64 KiB of text, but each field is held as two strings in a vector. A head of fields of four bytes had 16,384 of them, 64 bytes each, once in the parser and once with the response, for each request in flight, and none of this is counted against the memory budget. For each field, the list of the Connection field was searched again, so a long list and many fields took time with the product of both.

Change: a head may have 256 fields; the parser rejects it at the next one. The options of the Connection field are read once for a message. This holds for requests as well (431).

--- a/src/edge/ForwardedRequest.cpp
+++ b/src/edge/ForwardedRequest.cpp
@@ -4,7 +4,9 @@
 
 #include <algorithm>
 #include <array>
+#include <cctype>
 #include <cstdio>
+#include <set>
 
 namespace basildeck {
 
@@ -22,13 +24,20 @@
                        [&](std::string_view field) { return equalsIgnoreCase(field, name); });
 }
 
-// Whether the Connection field lists a field as hop-by-hop.
-bool isNamedByConnection(const HeaderFields &fields, std::string_view name)
+std::string lowerCase(std::string_view text)
 {
+    std::string result(text);
+    std::transform(result.begin(), result.end(), result.begin(),
+                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return result;
+}
+
+// Returns the names of the fields that the Connection field lists as hop-by-hop, in lower case.
+std::set<std::string> connectionOptions(const HeaderFields &fields)
+{
+    std::set<std::string> options;
     const std::string *connection = fields.find("connection");
-    if (connection == nullptr)
-        return false;
-    std::string_view rest = *connection;
+    std::string_view rest = connection == nullptr ? std::string_view() : *connection;
     while (!rest.empty()) {
         const std::size_t end = std::min(rest.find(','), rest.size());
         std::string_view word = rest.substr(0, end);
@@ -36,11 +45,10 @@
             word.remove_prefix(1);
         while (!word.empty() && word.back() == ' ')
             word.remove_suffix(1);
-        if (equalsIgnoreCase(word, name))
-            return true;
+        options.insert(lowerCase(word));
         rest.remove_prefix(std::min(end + 1, rest.size()));
     }
-    return false;
+    return options;
 }
 
 void addField(std::string &text, std::string_view name, std::string_view value)
@@ -51,13 +59,14 @@
 void addEndToEndFields(std::string &text, const HeaderFields &fields,
                        const std::vector<std::string_view> &without)
 {
+    const std::set<std::string> options = connectionOptions(fields);
     for (const HeaderFields::Field &field : fields.all()) {
         const std::string &name = field.first;
         const bool isLeftOut = std::any_of(without.begin(), without.end(), [&](std::string_view o) {
             return equalsIgnoreCase(o, name);
         });
         if (!isLeftOut && !isConnectionField(name) && !isForwardingField(name)
-            && !isNamedByConnection(fields, name))
+            && !options.contains(lowerCase(name)))
             addField(text, name, field.second);
     }
 }
--- a/src/edge/HttpParser.cpp
+++ b/src/edge/HttpParser.cpp
@@ -111,9 +111,9 @@
     static State &of(http_parser *parser) { return *static_cast<State *>(parser->data); }
 
     int finishHead();
-    // Returns an error for a field of a trailer that is too large. The fields of a head are limited
-    // together.
-    int checkTrailerField();
+    // Returns an error if the head has too many fields, or the trailer a field that is too large.
+    // The sizes of the fields of a head are limited together.
+    int checkField();
     bool hasAmbiguousBodyLength() const;
     bool isHeadTooLarge() const;
 };
@@ -137,9 +137,11 @@
            || head.fields.count("content-length") > 0;
 }
 
-int HttpParser::State::checkTrailerField()
+int HttpParser::State::checkField()
 {
-    if (!inTrailer || name.size() + value.size() <= maxHeadBytes)
+    const bool isValid = inTrailer ? name.size() + value.size() <= maxHeadBytes
+                                   : head.fields.all().size() < maxFields;
+    if (isValid)
         return 0;
     parseError = ParseError::HeadTooLarge;
     return -1;
@@ -204,13 +206,13 @@
         if (self.isReadingValue)
             self.finishField();
         self.name.append(at, length);
-        return self.checkTrailerField();
+        return self.checkField();
     };
     state.settings.on_header_value = [](http_parser *parser, const char *at, std::size_t length) {
         State &self = State::of(parser);
         self.isReadingValue = true;
         self.value.append(at, length);
-        return self.checkTrailerField();
+        return self.checkField();
     };
     state.settings.on_headers_complete
             = [](http_parser *parser) { return State::of(parser).finishHead(); };
--- a/src/edge/HttpParser.h
+++ b/src/edge/HttpParser.h
@@ -52,13 +52,18 @@
     bool isDelimitedByClose = false; // a response without a length
 };
 
-// An incremental HTTP/1.1 parser based on http_parser. Parses one message at a time.
+// An incremental HTTP/1.1 parser based on http_parser. Parses one message at a time, and holds at
+// most its head.
 class HttpParser
 {
 public:
     enum class MessageType { Request, Response };
     enum class ParseError { None, Malformed, HeadTooLarge };
 
+    // Maximum number of fields of a head. A field takes far more memory than the few bytes that it
+    // may have in the message.
+    static constexpr std::size_t maxFields = 256;
+
     struct Callbacks
     {
         std::function<void(MessageHead)> onHead;
