Limit what surrounds a body in chunks

Seen from callers: a request whose target sends a chunk extension or a trailer without end is answered only at the timeout of its route; until then it keeps its place at the target, and its VM parses whatever arrives.

Cause: chunk extensions were skipped without a limit. Of a trailer only each field was limited, not their number. Nothing of it was kept, so no memory grew.

Change: chunk sizes, extensions and trailer together may have the maximum size of a head and 16 bytes for each byte of the body. That holds for requests as well (RFC 9112, section 7.1.1); they are refused with 431. A body in chunks of one byte stays below the limit.

--- a/src/edge/CallerConnection.cpp
+++ b/src/edge/CallerConnection.cpp
@@ -89,9 +89,9 @@
         if (!m_acceptsInput)
             return;
         if (m_parser.parseError() != HttpParser::ParseError::None) {
-            refuseInput(m_parser.parseError() == HttpParser::ParseError::HeadTooLarge
-                                ? ErrorKind::HeadTooLarge
-                                : ErrorKind::BadRequest);
+            refuseInput(m_parser.parseError() == HttpParser::ParseError::Malformed
+                                ? ErrorKind::BadRequest
+                                : ErrorKind::HeadTooLarge);
             return;
         }
         if (!m_parser.isComplete() || m_memoryWait)
--- a/src/edge/HttpParser.cpp
+++ b/src/edge/HttpParser.cpp
@@ -97,6 +97,8 @@
     bool expectsNoBody = false;
     bool inTrailer = false;
     std::size_t headBytes = 0;
+    std::uint64_t bodyBytes = 0;
+    std::uint64_t bytesAfterHead = 0; // of the body and what surrounds it
     ParseError parseError = ParseError::None;
 
     void finishField()
@@ -116,6 +118,10 @@
     int checkField();
     bool hasAmbiguousBodyLength() const;
     bool isHeadTooLarge() const;
+    bool isFramingTooLarge() const
+    {
+        return bytesAfterHead - bodyBytes > maxHeadBytes + maxFramingPerBodyByte * bodyBytes;
+    }
 };
 
 bool HttpParser::State::isHeadTooLarge() const
@@ -217,7 +223,9 @@
     state.settings.on_headers_complete
             = [](http_parser *parser) { return State::of(parser).finishHead(); };
     state.settings.on_body = [](http_parser *parser, const char *at, std::size_t length) {
-        State::of(parser).callbacks.onBody({ at, length });
+        State &self = State::of(parser);
+        self.bodyBytes += length;
+        self.callbacks.onBody({ at, length });
         return 0;
     };
     state.settings.on_message_complete = [](http_parser *parser) {
@@ -242,6 +250,7 @@
     state.isReadingValue = state.hasStarted = state.headComplete = state.complete = state.inTrailer
             = false;
     state.headBytes = 0;
+    state.bodyBytes = state.bytesAfterHead = 0;
     state.parseError = ParseError::None;
 }
 
@@ -266,6 +275,10 @@
         if (state.headBytes > state.maxHeadBytes)
             state.parseError = ParseError::HeadTooLarge;
     }
+    // The part of the body that comes with the end of the head counts as body only.
+    state.bytesAfterHead = wasInHead ? state.bodyBytes : state.bytesAfterHead + consumed;
+    if (state.parseError == ParseError::None && state.isFramingTooLarge())
+        state.parseError = ParseError::FramingTooLarge;
     if (state.complete && state.parseError == ParseError::None)
         state.callbacks.onComplete();
     return consumed;
--- a/src/edge/HttpParser.h
+++ b/src/edge/HttpParser.h
@@ -58,11 +58,14 @@
 {
 public:
     enum class MessageType { Request, Response };
-    enum class ParseError { None, Malformed, HeadTooLarge };
+    enum class ParseError { None, Malformed, HeadTooLarge, FramingTooLarge };
 
     // Maximum number of fields of a head. A field takes far more memory than the few bytes that it
     // may have in the message.
     static constexpr std::size_t maxFields = 256;
+    // What surrounds a body in chunks (chunk sizes, chunk extensions and the trailer) may have the
+    // maximum size of a head, and this many bytes for each byte of the body.
+    static constexpr std::uint64_t maxFramingPerBodyByte = 16;
 
     struct Callbacks
     {
--- a/tests/EndlessResponseTest.cpp
+++ b/tests/EndlessResponseTest.cpp
@@ -12,6 +12,9 @@
     const std::string statusLine = "HTTP/1.1 200 OK\r\n";
     const std::string chunkedHead
             = statusLine + "Request-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string sealedHead = statusLine
+                                   + "Request-Id: r1\r\nResponse-Seal: s\r\n"
+                                     "Transfer-Encoding: chunked\r\n\r\n";
     const std::string filler(16 * 1024, 'x');
     struct Endless
     {
@@ -28,6 +31,9 @@
         { "body of another request's response",
           statusLine + "Request-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n",
           "4000\r\n" + filler + "\r\n" },
+        { "chunk extension of a sealed response", sealedHead + "5;", filler },
+        { "trailer fields of a sealed response", sealedHead + "5\r\nfirst\r\n0\r\n",
+          "X-Trailer: " + filler + "\r\n" },
         { "trailer", chunkedHead + "0\r\nX-Trailer: ", filler },
         { "interim responses", "", "HTTP/1.1 100 Continue\r\nX-Filler: " + filler + "\r\n\r\n" },
     };
--- a/tests/HttpParserTest.cpp
+++ b/tests/HttpParserTest.cpp
@@ -61,6 +61,53 @@
     }
 }
 
+// The bytes around a body were not limited at all: they kept the request's place at its target, and
+// the processor of the VM busy, until the timeout of the route.
+TEST_CASE("chunk extensions or trailers without end are read until the timeout")
+{
+    const std::string filler(1000, 'x');
+    struct Endless
+    {
+        std::string head;
+        std::string repeated;
+    };
+    for (const Endless &endless : {
+                 Endless{ "5;", filler }, // one extension
+                 Endless{ "5;" + filler + "\r\nfirst\r\n", "1;" + filler + "\r\nx\r\n" },
+                 Endless{ "0\r\n", "x-trailer: " + filler + "\r\n" }, // many fields
+                 Endless{ "0\r\n", "a:\r\n" },                        // short ones
+                 Endless{ "0\r\nx-trailer: ", filler },               // one field
+         }) {
+        CAPTURE(endless.head.substr(0, 20));
+        for (const auto &[type, startLine] :
+             { std::pair(HttpParser::MessageType::Response, "HTTP/1.1 200 OK\r\n"),
+               std::pair(HttpParser::MessageType::Request, "POST / HTTP/1.1\r\n") }) {
+            HttpParser parser(type, maxHeadBytes,
+                              { [](const MessageHead &) {}, [](std::string_view) {}, [] {} });
+            parser.feed(std::string(startLine) + "Transfer-Encoding: chunked\r\n\r\n");
+            const std::size_t limit = 4 * maxHeadBytes;
+            CHECK(bytesUntilError(parser, endless.head, endless.repeated, limit) < limit);
+            CHECK(parser.parseError() != HttpParser::ParseError::None);
+        }
+    }
+}
+
+TEST_CASE("a body in chunks of one byte may be as long as any other")
+{
+    std::size_t received = 0;
+    HttpParser parser(HttpParser::MessageType::Response, maxHeadBytes,
+                      { [](const MessageHead &) {},
+                        [&](std::string_view bytes) { received += bytes.size(); }, [] {} });
+    parser.feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    constexpr std::size_t bodyBytes = 1024 * 1024;
+    for (std::size_t i = 0; i < bodyBytes; ++i)
+        parser.feed("00001\r\nx\r\n");
+    parser.feed("0\r\nx-trailer: value\r\n\r\n");
+    CHECK(received == bodyBytes);
+    CHECK(parser.isComplete());
+    CHECK(parser.parseError() == HttpParser::ParseError::None);
+}
+
 TEST_SUITE_END();
 
 } // namespace basildeck
