Limit the number of responses that are discarded, and name exceeded limits

Seen from callers: a request whose target sends short interim responses, or responses to other requests, waits until its timeout, and the VM parses up to 80,000 of them, with a line in the log for each response to another request.

Cause: only the bytes that an exchange discards were limited (2 MiB), and of a head that came in several reads only the last part was counted. Every exceeded limit was logged as how=malformed, and no metric counted it.

Change: at most 100 responses are discarded, and all bytes before the accepted head are counted. Each limit has a name in `target failed ... how=` and in basildeck_target_failures_total{how}.

Evidence: "short responses to other requests keep a VM busy without end" failed without the number's limit (504 after 3 s for 502) and passes now.

--- a/src/core/Metrics.cpp
+++ b/src/core/Metrics.cpp
@@ -115,6 +115,10 @@
     for (const auto &[key, count] : m_truncatedResponses)
         out << "basildeck_cut_answers_total{" << routeLabels(key.first, key.second) << "} " << count
             << '\n';
+    writeMetricHeader(out, "basildeck_target_failures_total", "counter",
+                      "Sends without an acceptable answer, by how they ended.");
+    for (const auto &[how, count] : m_targetFailures)
+        out << "basildeck_target_failures_total{how=\"" << how << "\"} " << count << '\n';
     writeMetricHeader(out, "basildeck_request_seconds", "summary",
                       "Time from head to end of answer.");
     for (const auto &[route, latency] : m_latencies) {
--- a/src/core/Metrics.h
+++ b/src/core/Metrics.h
@@ -39,6 +39,8 @@
     void addHedgeWaste(const std::string &route, Duration ran) { m_hedges[route].wasted += ran; }
     // Requests that got no second attempt although they took long, by reason.
     void countHedgeDenial(std::string_view reason) { ++m_hedgeDenials[std::string(reason)]; }
+    // Attempts that ended without a response that may be passed on, by how they ended.
+    void countTargetFailure(std::string_view how) { ++m_targetFailures[std::string(how)]; }
     void countLookup() { ++m_lookups; }
     // The latency is the time from the request's head to the end of the response.
     void recordLatency(const std::string &route, Duration latency);
@@ -65,6 +67,7 @@
     std::map<RouteAndOrganisation, std::uint64_t> m_truncatedResponses;
     std::map<std::tuple<ErrorKind, std::string, std::string>, std::uint64_t> m_refusals;
     std::map<std::tuple<RetryReason, std::string, std::string>, std::uint64_t> m_retries;
+    std::map<std::string, std::uint64_t> m_targetFailures; // by how
     std::map<std::string, std::unique_ptr<Latency>> m_latencies;
     std::map<std::string, Hedges> m_hedges; // by route
     std::map<std::string, std::uint64_t> m_hedgeDenials;
--- a/src/edge/ForwarderMemory.cpp
+++ b/src/edge/ForwarderMemory.cpp
@@ -29,7 +29,7 @@
     request.response.body.append(bytes);
     if (!mayStream(request)) {
         if (request.response.body.size() > maxUnforwardedBodyBytes)
-            handleExchangeFailure(request, ExchangeFailure::Malformed);
+            handleExchangeFailure(request, ExchangeFailure::BodyTooLarge);
         return;
     }
     // A response that has to wait for earlier ones can still be replaced if it is cut off.
--- a/src/edge/ForwarderPeers.cpp
+++ b/src/edge/ForwarderPeers.cpp
@@ -215,8 +215,8 @@
     else if (request.isIdempotent() && acquireRetry(request, RetryReason::LostIdempotent))
         dispatch(request);
     else
-        refuse(request, failure == ExchangeFailure::Malformed ? ErrorKind::AnswerInvalid
-                                                              : ErrorKind::UpstreamLost);
+        refuse(request,
+               isInvalidResponse(failure) ? ErrorKind::AnswerInvalid : ErrorKind::UpstreamLost);
 }
 
 } // namespace basildeck
--- a/src/edge/ForwarderResponses.cpp
+++ b/src/edge/ForwarderResponses.cpp
@@ -243,6 +243,7 @@
         return;
     }
     const Time now = m_loop.now();
+    m_metrics.countTargetFailure(exchangeFailureName(failure));
     TargetState *target = m_targets.find(request.targetId);
     const bool wasSent = failure != ExchangeFailure::NotConnected;
     BASILDECK_INFO(logComponent) << "target failed request=" << request.callerRequestId
@@ -266,9 +267,9 @@
     }
     request.mayHaveRun = request.mayHaveRun || wasSent;
     const RetryReason reason = wasSent ? RetryReason::LostIdempotent : RetryReason::ConnectFailed;
-    const ErrorKind kind = !request.mayHaveRun                     ? ErrorKind::ConnectFailed
-                           : failure == ExchangeFailure::Malformed ? ErrorKind::AnswerInvalid
-                                                                   : ErrorKind::UpstreamLost;
+    const ErrorKind kind = !request.mayHaveRun          ? ErrorKind::ConnectFailed
+                           : isInvalidResponse(failure) ? ErrorKind::AnswerInvalid
+                                                        : ErrorKind::UpstreamLost;
     if (request.response.isStreaming) {
         truncateResponse(request);
     } else if (leaveToSecondAttempt(request, reason, kind)) {
--- a/src/edge/HttpClientConnection.cpp
+++ b/src/edge/HttpClientConnection.cpp
@@ -25,11 +25,18 @@
 
 std::string_view exchangeFailureName(ExchangeFailure failure)
 {
-    static constexpr std::array<std::string_view, 3> names
-            = { "not-connected", "lost", "malformed" };
+    static constexpr std::array<std::string_view, exchangeFailureCount> names = {
+        "not-connected",      "lost",          "malformed", "head-too-large", "framing-too-large",
+        "discarded-too-much", "body-too-large"
+    };
     return names.at(static_cast<std::size_t>(failure));
 }
 
+bool isInvalidResponse(ExchangeFailure failure)
+{
+    return failure != ExchangeFailure::NotConnected && failure != ExchangeFailure::Lost;
+}
+
 std::unique_ptr<HttpClientConnection> HttpClientConnection::make(EventLoop &loop,
                                                                  const Address &address)
 {
@@ -58,10 +65,10 @@
     m_exchange = std::move(exchange);
     m_active = true;
     m_messageComplete = false;
-    m_discarding = false;
+    m_hasResponseHead = false;
     m_discardedBytes = 0;
-    m_parser.reset();
-    m_parser.expectNoBody(m_exchange.isHeadRequest);
+    m_discardedResponses = 0;
+    startResponse();
     auto body = std::move(m_exchange.body);
     if (body && body->size() <= TcpStream::maxCopiedBytes)
         m_exchange.request += *std::exchange(body, nullptr); // one packet with the head
@@ -118,10 +125,35 @@
     }
     updateKeepAlive(head);
     m_discarding = !m_active || !m_exchange.onHead(head);
+    m_hasResponseHead = !m_discarding;
     if (m_discarding)
         m_reusable = false;
 }
 
+void HttpClientConnection::startResponse()
+{
+    m_discarding = false;
+    m_parser.reset();
+    m_parser.expectNoBody(m_exchange.isHeadRequest);
+}
+
+std::optional<ExchangeFailure> HttpClientConnection::inputFailure() const
+{
+    switch (m_parser.parseError()) {
+    case HttpParser::ParseError::Malformed:
+        return ExchangeFailure::Malformed;
+    case HttpParser::ParseError::HeadTooLarge:
+        return ExchangeFailure::HeadTooLarge;
+    case HttpParser::ParseError::FramingTooLarge:
+        return ExchangeFailure::FramingTooLarge;
+    case HttpParser::ParseError::None:
+        break;
+    }
+    if (m_discardedBytes > maxDiscardedBytes || m_discardedResponses > maxDiscardedResponses)
+        return ExchangeFailure::DiscardedTooMuch;
+    return std::nullopt;
+}
+
 void HttpClientConnection::handleData(std::string_view bytes)
 {
     if (!m_active) {
@@ -134,20 +166,19 @@
         bytes.remove_prefix(std::min(consumed, bytes.size()));
         if (!m_active)
             return; // ended by a callback
-        if (m_discarding)
+        if (!m_hasResponseHead)
             m_discardedBytes += consumed;
-        if (m_parser.parseError() != HttpParser::ParseError::None
-            || m_discardedBytes > maxDiscardedBytes) {
-            fail(ExchangeFailure::Malformed);
+        if (m_messageComplete && m_discarding)
+            ++m_discardedResponses;
+        if (const auto failure = inputFailure()) {
+            fail(*failure);
             return;
         }
         if (!m_messageComplete)
             continue;
         m_messageComplete = false;
         if (m_discarding) {
-            m_discarding = false;
-            m_parser.reset();
-            m_parser.expectNoBody(m_exchange.isHeadRequest);
+            startResponse();
             continue;
         }
         if (!bytes.empty())
--- a/src/edge/HttpClientConnection.h
+++ b/src/edge/HttpClientConnection.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -13,22 +14,33 @@
 // Why an exchange ended without a complete response.
 enum class ExchangeFailure {
     NotConnected, // nothing was sent
-    Lost,         // the connection closed; the request may have been executed
-    Malformed,    // the response is not valid HTTP; the request may have been executed
+    // The request may have been executed in all other cases.
+    Lost,             // the connection closed
+    Malformed,        // the response is not valid HTTP
+    HeadTooLarge,     // the head of the response exceeds its limits
+    FramingTooLarge,  // chunk extensions or trailer exceed their limits
+    DiscardedTooMuch, // too many interim responses, or responses to other requests
+    BodyTooLarge,     // a body that cannot be passed on yet is too large to be held
 };
+constexpr std::size_t exchangeFailureCount
+        = static_cast<std::size_t>(ExchangeFailure::BodyTooLarge) + 1;
 
-// Returns "not-connected", "lost" or "malformed".
+// Returns "not-connected", "lost", "malformed", "head-too-large", and so on.
 std::string_view exchangeFailureName(ExchangeFailure failure);
 
+// Whether the peer sent something that is not an acceptable response.
+bool isInvalidResponse(ExchangeFailure failure);
+
 // An outgoing HTTP/1.1 connection that handles one exchange at a time.
 class HttpClientConnection
 {
 public:
     // Maximum size of a response head.
     static constexpr std::size_t maxHeadBytes = 64 * 1024;
-    // Maximum size of the interim responses, and responses to other requests, that are discarded
-    // during an exchange.
+    // Maximum size and number of the interim responses, and responses to other requests, that are
+    // discarded during an exchange.
     static constexpr std::size_t maxDiscardedBytes = 2 * 1024 * 1024;
+    static constexpr int maxDiscardedResponses = 100;
 
     struct Exchange
     {
@@ -77,6 +89,10 @@
     void finish();
     void fail(ExchangeFailure failure);
     void updateKeepAlive(const MessageHead &head);
+    // Prepares for the next response of the exchange.
+    void startResponse();
+    // Why the input so far is not acceptable; nothing if it is.
+    std::optional<ExchangeFailure> inputFailure() const;
 
     std::unique_ptr<TcpStream> m_stream;
     HttpParser m_parser;
@@ -85,7 +101,10 @@
     bool m_connected = false;
     bool m_reusable = true;
     bool m_discarding = false;
-    std::size_t m_discardedBytes = 0; // during the exchange
+    bool m_hasResponseHead = false; // of the response that is not discarded
+    // During the exchange, before the head of its response is complete.
+    std::size_t m_discardedBytes = 0;
+    int m_discardedResponses = 0;
     bool m_messageComplete = false;
     Duration m_idleTimeout{ 0 };
 };
--- a/tests/EndlessResponseTest.cpp
+++ b/tests/EndlessResponseTest.cpp
@@ -87,6 +87,28 @@
     }
 }
 
+// Only the bytes that are discarded during an exchange were limited: 2 MiB of short responses are
+// 80,000, and each response to another request is a line in the log.
+TEST_CASE("short responses to other requests keep a VM busy without end")
+{
+    for (const std::string &discarded :
+         { std::string("HTTP/1.1 103 Early Hints\r\n\r\n"),
+           std::string("HTTP/1.1 204 No Content\r\nRequest-Id: other\r\n\r\n") }) {
+        CAPTURE(discarded);
+        EdgeFixture fixture;
+        auto caller = fixture.sendAsCaller(EdgeFixture::request("POST", "/unsafe/", "r1", {}, "x"));
+        auto received = fixture.awaitRequest();
+        for (int i = 0; i <= HttpClientConnection::maxDiscardedResponses; ++i)
+            received.socket->send(discarded);
+        const auto response = standin::readResponse(*caller);
+        REQUIRE(response);
+        CHECK(response->head.status() == 502);
+        const std::string metrics = fixture.metrics();
+        CHECK(metrics.find("target_failures_total{how=\"discarded-too-much\"} 1")
+              != std::string::npos);
+    }
+}
+
 TEST_SUITE_END();
 
 } // namespace basildeck::test
