Let targets of the soak send without end, and check the memory of its processes

The soak had targets that cut, repeat or append to responses, but none that goes on until its connection is closed, and nothing looked at the memory of the VMs.

A process that exceeds the memory of its settings (256 MiB) is a violation. The summary tells how many such responses were begun and the peak.

--- a/tools/soak/Soak.cpp
+++ b/tools/soak/Soak.cpp
@@ -71,7 +71,9 @@
                 << " served, " << countStatus(429) << " over quota, " << countStatus(503)
                 << " refused, " << m_injectedFaultCount << " faults injected, " << m_callsInDrill
                 << " calls to the store in the restore drill, " << m_violations.size()
-                << " violations";
+                << " violations, " << m_targets->endlessResponseCount()
+                << " endless responses, peak memory " << m_vms->peakMemoryBytes() / 1024 / 1024
+                << " MiB";
         return { summary.str(), m_violations };
     }
 
@@ -278,15 +280,16 @@
     {
         static constexpr std::array<ProxyMode, 4> linkModes
                 = { ProxyMode::Delay, ProxyMode::DropAll, ProxyMode::ResetOnce, ProxyMode::Refuse };
-        static constexpr std::array<TargetMode, 9> modes = { TargetMode::Slow,
-                                                             TargetMode::RejectAll,
-                                                             TargetMode::DropResponses,
-                                                             TargetMode::AppendBytes,
-                                                             TargetMode::DuplicateResponses,
-                                                             TargetMode::TruncateResponses,
-                                                             TargetMode::AskForHoldOff,
-                                                             TargetMode::RepeatRefusals,
-                                                             TargetMode::CutHeads };
+        static constexpr std::array<TargetMode, 10> modes = { TargetMode::Slow,
+                                                              TargetMode::RejectAll,
+                                                              TargetMode::DropResponses,
+                                                              TargetMode::AppendBytes,
+                                                              TargetMode::DuplicateResponses,
+                                                              TargetMode::TruncateResponses,
+                                                              TargetMode::AskForHoldOff,
+                                                              TargetMode::RepeatRefusals,
+                                                              TargetMode::CutHeads,
+                                                              TargetMode::EndlessBytes };
         const auto ids = m_targets->ids();
         const std::string &id = ids.at(randomIndex(ids.size()));
         const std::size_t kind = randomIndex(linkModes.size() + modes.size());
--- a/tools/soak/SoakTargets.cpp
+++ b/tools/soak/SoakTargets.cpp
@@ -23,6 +23,8 @@
 constexpr int usualHoldOffPeriod = 150;
 constexpr int faultyHoldOffPeriod = 3;
 constexpr Duration checkInInterval = seconds(1);
+constexpr std::size_t endlessPartBytes = 64 * 1024;
+constexpr Duration endlessPartInterval = milliseconds(1);
 
 std::string field(const IncomingRequest &request, std::string_view name)
 {
@@ -271,13 +273,34 @@
         ExecutionRecord &ended = m_executions[id];
         ended.lastEnd = m_loop.now();
         ended.lastCompleted = true;
-        completeRequest(target, request, id);
+        completeRequest(target, request, id, exchangeId);
     });
     return exchangeId;
 }
 
+void SoakTargets::sendEndless(std::uint64_t exchangeId, const ResponseSink &sink,
+                              const EndlessResponse &response, std::size_t sentBytes)
+{
+    if (!m_endlessExchanges.contains(exchangeId))
+        return;
+    if (sentBytes > EndlessResponse::maxBytes) {
+        m_endlessExchanges.erase(exchangeId);
+        sink.abort(true);
+        return;
+    }
+    std::string part;
+    while (!sink.isCongested() && part.size() < endlessPartBytes)
+        part += response.repeated;
+    sink.body(part);
+    sentBytes += part.size();
+    callLater(m_loop, endlessPartInterval, [this, exchangeId, sink, response, sentBytes] {
+        sendEndless(exchangeId, sink, response, sentBytes);
+    });
+}
+
 void SoakTargets::handleDisconnect(std::uint64_t exchangeId)
 {
+    m_endlessExchanges.erase(exchangeId);
     const auto run = m_runs.find(exchangeId);
     if (run == m_runs.end())
         return;
@@ -286,7 +309,7 @@
 }
 
 void SoakTargets::completeRequest(Target &target, const IncomingRequest &request,
-                                  const std::string &id)
+                                  const std::string &id, std::uint64_t exchangeId)
 {
     const ResponseSink &sink = request.sink;
     const bool injectsFault = std::uniform_int_distribution<int>(0, 2)(m_random) == 0;
@@ -305,6 +328,16 @@
         sink.finish(true);
         return;
     }
+    if (mode == TargetMode::EndlessBytes) {
+        const auto endless
+                = EndlessResponse::make(m_random() % EndlessResponse::variantCount, head, body);
+        m_endlessExchanges.insert(exchangeId);
+        ++m_endlessResponseCount;
+        sink.head("HTTP/1.1 100 Continue\r\n");
+        sink.body(endless.start);
+        sendEndless(exchangeId, sink, endless, 0);
+        return;
+    }
     const std::string length = "Content-Length: " + std::to_string(body.size()) + "\r\n";
     if (mode == TargetMode::DropResponses) {
         sink.abort(true);
--- a/tools/soak/SoakTargets.h
+++ b/tools/soak/SoakTargets.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "soak/FaultProxy.h"
+#include "soak/SoakEndlessResponse.h"
 #include "soak/SoakStore.h"
 
 #include <map>
@@ -23,7 +24,8 @@
     TruncateResponses,  // closes the connection before the end of the body
     AskForHoldOff,      // often answers 503 with Retry-After and Not-Executed
     RepeatRefusals,     // sends an earlier refusal before the response
-    CutHeads            // closes the connection in the head of the response
+    CutHeads,           // closes the connection in the head of the response
+    EndlessBytes        // sends an EndlessResponse
 };
 
 // The executions of one request, over all targets.
@@ -67,6 +69,7 @@
     const std::map<std::string, ExecutionRecord> &executions() const { return m_executions; }
     // Violations that the targets detected.
     const std::vector<std::string> &violations() const { return m_violations; }
+    std::size_t endlessResponseCount() const { return m_endlessResponseCount; }
     // A request that reached a draining target.
     struct DrainingArrival
     {
@@ -127,7 +130,11 @@
     std::uint64_t handleRequest(Target &target, const IncomingRequest &request);
     void handleDisconnect(std::uint64_t exchangeId);
     void checkRequest(const IncomingRequest &request);
-    void completeRequest(Target &target, const IncomingRequest &request, const std::string &id);
+    void completeRequest(Target &target, const IncomingRequest &request, const std::string &id,
+                         std::uint64_t exchangeId);
+    // Sends more of an endless response until its connection has been closed.
+    void sendEndless(std::uint64_t exchangeId, const ResponseSink &sink,
+                     const EndlessResponse &response, std::size_t sentBytes);
     // Whether the target turned the request away.
     bool turnAway(Target &target, const IncomingRequest &request, const std::string &id);
     // Returns the fields in which a target says that it is leaving, and which rate it takes.
@@ -142,6 +149,8 @@
     std::map<std::string, ExecutionRecord> m_executions;
     // The request ids of runs by exchange, until their callers disconnect.
     std::map<std::uint64_t, std::string> m_runs;
+    std::set<std::uint64_t> m_endlessExchanges;
+    std::size_t m_endlessResponseCount = 0;
     std::uint64_t m_nextExchangeId = 1;
     std::vector<std::string> m_violations;
     std::vector<DrainingArrival> m_drainingArrivals;
--- a/tools/soak/SoakVms.cpp
+++ b/tools/soak/SoakVms.cpp
@@ -73,7 +73,7 @@
         << "listen.front=" << addressOf(callerPort) << "\nlisten.ready=" << addressOf(readinessPort)
         << "\nlisten.directory=" << addressOf(lookupPort)
         << "\nprovider.address=" << storeLink.toString()
-        << "\ninternal_port_range=7560,7575\nlimits.memory_mb=256\n"
+        << "\ninternal_port_range=7560,7575\nlimits.memory_mb=" << memoryMb << "\n"
         << "bounds=grace=6s,ttl_max=5s,retry_budget_ratio=0.2,retry_budget_slack=64,"
            "quota_overshoot=0.1,quota_slack=20,cold_overshoot=1.5,cold_slack=5\n";
 }
@@ -175,6 +175,7 @@
         int status = 0;
         if (vm.pid > 0 && waitpid(vm.pid, &status, WNOHANG) == vm.pid)
             handleExit(vm, status);
+        checkMemory(vm);
         if (vm.pid == 0 && !m_isTerminating)
             start(i);
         if (vm.pid > 0 && vm.sigtermTime && !vm.paused && !vm.sigkillTime
@@ -185,6 +186,22 @@
     }
 }
 
+void SoakVms::checkMemory(Vm &vm)
+{
+    if (vm.pid == 0 || vm.hasExceededMemory)
+        return;
+    std::ifstream file("/proc/" + std::to_string(vm.pid) + "/statm");
+    std::size_t totalPages = 0;
+    std::size_t residentPages = 0;
+    file >> totalPages >> residentPages;
+    const auto bytes = residentPages * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+    m_peakMemoryBytes = std::max(m_peakMemoryBytes, bytes);
+    vm.hasExceededMemory = bytes > memoryMb * 1024UL * 1024UL;
+    if (vm.hasExceededMemory)
+        m_violations.push_back(vm.name + " exceeded its memory with " + std::to_string(bytes)
+                               + " bytes");
+}
+
 void SoakVms::terminateAll()
 {
     m_isTerminating = true;
--- a/tools/soak/SoakVms.h
+++ b/tools/soak/SoakVms.h
@@ -28,6 +28,8 @@
     static constexpr std::uint16_t callerPort = 8388;
     // The time from SIGTERM within which a process has to exit.
     static constexpr Duration shutdownGrace = seconds(6);
+    // The memory that a process may use, as its settings say.
+    static constexpr std::size_t memoryMb = 256;
 
     SoakVms(EventLoop &loop, std::string program, std::string folder, int subnet);
     ~SoakVms();
@@ -69,6 +71,8 @@
     bool wasDisturbed(std::size_t vm, Time from, Time to) const;
     void recordDisturbance(std::size_t vm);
     const std::vector<std::string> &violations() const { return m_violations; }
+    // The most resident memory of any process.
+    std::size_t peakMemoryBytes() const { return m_peakMemoryBytes; }
 
 private:
     struct Vm
@@ -84,12 +88,14 @@
         std::optional<Time> sigkillTime;
         std::optional<Time> sigtermTime;
         bool paused = false;
+        bool hasExceededMemory = false;
         std::vector<Time> disturbances;
     };
 
     void writeSettings(const Vm &vm, const std::string &zone, const std::string &region,
                        const Address &storeLink) const;
     void handleExit(Vm &vm, int status);
+    void checkMemory(Vm &vm);
 
     EventLoop &m_loop;
     std::string m_program;
@@ -98,6 +104,7 @@
     std::vector<Vm> m_vms;
     std::function<void(std::size_t)> m_startCallback;
     std::vector<std::string> m_violations;
+    std::size_t m_peakMemoryBytes = 0;
     bool m_isTerminating = false;
 };
 
