--- a/tests/FleetViewTest.cpp
+++ b/tests/FleetViewTest.cpp
@@ -13,6 +13,7 @@
 #include <functional>
 #include <iterator>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <thread>
@@ -99,6 +100,7 @@
         REQUIRE(await([&] { return store->callCount() > calls; }));
     }
 
+    std::size_t targets() const { return m_targets.size(); }
     std::size_t leavingTargets() const { return m_targets.leavingCount(); }
 
     // Lets the store fall silent between a change of the configuration and the next watch of it.
@@ -111,15 +113,17 @@
         REQUIRE(await([&] { return store->callCount() > calls; }));
     }
 
-    // Records a heartbeat of another VM that knows the configuration of a revision but serves no
-    // changes.
-    void hearFromPeer(std::uint64_t revision)
+    // Records a heartbeat of another VM that knows the configuration, and maybe the targets, of a
+    // revision but serves no changes.
+    void hearFromPeer(std::uint64_t revision, std::optional<std::uint64_t> targetsRevision = {})
     {
         Heartbeat heartbeat;
         heartbeat.vm = "vm-2";
         heartbeat.sequence = ++m_heartbeats;
         heartbeat.relayAddress = m_peerAddress.toString();
         heartbeat.versions["config"] = { 1, revision };
+        if (targetsRevision)
+            heartbeat.versions["servers"] = { 1, *targetsRevision };
         m_peers.recordHeartbeat(heartbeat, m_loop.now());
     }
 
@@ -232,6 +236,29 @@
     CHECK(fixture.await([&] { return fixture.leavingTargets() == 1; }, drainBound));
 }
 
+// deploy/days/unanswered.toml: open connections of most VMs to the store fall silent, new ones
+// work.
+TEST_CASE("changes after all watches of a VM were lost are known to it too late")
+{
+    FleetViewFixture fixture;
+    fixture.start("alpha");
+    fixture.writeTarget("ready");
+    REQUIRE(fixture.await([&] { return fixture.targets() == 1; }));
+    REQUIRE(fixture.await([&] { return fixture.openWatches() == FleetViewFixture::kindCount; }));
+    fixture.await([] { return false; }, milliseconds(200)); // the watches reach the store
+    fixture.store->loseWatches();
+    fixture.writeConfig("beta");
+    const std::uint64_t configRevision = fixture.store->revision();
+    fixture.writeTarget("draining");
+    const Duration drainBound = milliseconds(2500);
+    CHECK(fixture.await(
+            [&] {
+                fixture.hearFromPeer(configRevision, fixture.store->revision());
+                return fixture.organisation == "beta" && fixture.leavingTargets() == 1;
+            },
+            drainBound));
+}
+
 TEST_CASE("a watch that was sent again shows that the store still does not respond")
 {
     FleetViewFixture fixture;
--- a/tools/soak/SoakStore.h
+++ b/tools/soak/SoakStore.h
@@ -39,6 +39,8 @@
     void compactHistory();
     // Aborts the connections of open watches.
     void cutWatches();
+    // Leaves the open watches unanswered, on connections that stay open.
+    void loseWatches() { m_watches.clear(); }
     // Goes back to the objects and the revision of an earlier time, and begins a new era. Revisions
     // given out since are given out again; watches from a revision above the store's receive 410.
     void restore(Time time);
