--- a/tests/PeerFailureTest.cpp
+++ b/tests/PeerFailureTest.cpp
@@ -1,5 +1,7 @@
 #include "TwoEdges.h"
 
+#include <map>
+#include <string_view>
 #include <thread>
 #include <vector>
 
@@ -228,6 +230,48 @@
     CHECK(caller->buffer().find("\r\n0\r\n\r\n") == std::string::npos);
 }
 
+// review/3 with a peer in between: the peer streams what the first VM still has to hold back. There
+// is no other target for a retry.
+TEST_CASE("a response that is cut off behind the peer takes others of its connection along")
+{
+    constexpr std::size_t total = 2'000'000;
+    for (const std::size_t sent :
+         { 1'000UL, Forwarder::maxBufferedResponseBytes, Forwarder::maxBufferedResponseBytes + 1,
+           200'000UL, total - 1 }) {
+        for (const char *method : { "GET", "POST" }) {
+            CAPTURE(sent);
+            CAPTURE(method);
+            TwoEdges edges(1, 16);
+            const bool isSafe = std::string_view(method) == "GET";
+            const std::string route = isSafe ? "/safe/" : "/unsafe/";
+            const std::string body = isSafe ? "" : "x";
+            auto caller = edges.partitioned.sendAsCaller(
+                    EdgeFixture::request("GET", "/safe/", "r1")
+                    + EdgeFixture::request(method, route, "r2", {}, body)
+                    + EdgeFixture::request("GET", "/safe/", "r3"));
+            std::map<std::string, EdgeFixture::TargetRequest> received;
+            for (int i = 0; i < 3; ++i) {
+                auto request = edges.peer.awaitRequest();
+                const std::string id(request.head.header("request-id"));
+                received[id] = std::move(request);
+            }
+            received["r3"].socket->send(
+                    EdgeFixture::sealedResponse("r3", "three", "Connection: close\r\n"));
+            received["r2"].socket->send("HTTP/1.1 200 OK\r\nRequest-Id: r2\r\nResponse-Seal: s\r\n"
+                                        "Content-Length: "
+                                        + std::to_string(total) + "\r\n\r\n"
+                                        + std::string(sent, 'p'));
+            received["r2"].socket.reset();
+            while (edges.partitioned.openRequests() > 1)
+                std::this_thread::yield();
+            received["r1"].socket->send(EdgeFixture::sealedResponse("r1", "one"));
+            CHECK(completeResponse(*caller).body == "one");
+            CHECK(completeResponse(*caller).head.status() == 502);
+            CHECK(completeResponse(*caller).body == "three");
+        }
+    }
+}
+
 TEST_CASE("a peer that shuts down ends the requests that it has and takes no others")
 {
     TwoEdges edges;
