--- a/tests/FleetViewTest.cpp
+++ b/tests/FleetViewTest.cpp
@@ -100,6 +100,12 @@
         REQUIRE(await([&] { return store->callCount() > calls; }));
     }
 
+    // Whether the change of a kind with a revision is known.
+    bool knows(const std::string &kind, std::uint64_t revision) const
+    {
+        return m_view.versions().at(kind).revision >= revision;
+    }
+
     std::size_t targets() const { return m_targets.size(); }
     std::size_t leavingTargets() const { return m_targets.leavingCount(); }
 
@@ -259,6 +265,22 @@
             drainBound));
 }
 
+// Nothing else shows the loss: the other kinds are answered, and no VM is ahead.
+TEST_CASE("a change is unknown for long if the watch of its kind was lost long after the last one")
+{
+    const Duration changeBound = seconds(4); // the users' time until a VM counts as connected again
+    for (const std::string kind : { "config", "servers", "evacuations" }) {
+        CAPTURE(kind);
+        FleetViewFixture fixture;
+        fixture.start("alpha");
+        fixture.await([] { return false; }, milliseconds(200)); // the watches reach the store
+        fixture.store->loseWatches(kind);
+        fixture.store->put(kind, "changed", json::object());
+        const std::uint64_t revision = fixture.store->revision();
+        CHECK(fixture.await([&] { return fixture.knows(kind, revision); }, changeBound));
+    }
+}
+
 TEST_CASE("a watch that was sent again shows that the store still does not respond")
 {
     FleetViewFixture fixture;
