State how long ago the store confirmed the configuration of a refusal

Change, no decision is affected: a replica keeps when it was last known to be as new as the store, taken as the request of a list, as the answer of a watch but not later than the end of its wait, or from the age that another VM states with its version under the key "=confirmed" of /changes and /newer, counted from the end of the wait of the request at the latest. Refusals with key-unknown, key-missing, unknown-route and organisation-not-allowed log config_confirmed_ms; "store unreachable" and "store reachable" log confirmed_ms. Metrics: basildeck_replica_confirmed_age_ms by kind, and basildeck_refusals_by_old_config_total by reason for more than 4 s.

--- a/src/edge/EdgeMetrics.cpp
+++ b/src/edge/EdgeMetrics.cpp
@@ -36,6 +36,15 @@
         add("basildeck_store_call_age_ms{kind=\"" + kind + "\"}",
             static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(age).count()));
     }
+    for (const auto &[kind, age] : m_view->confirmedAges()) {
+        add("basildeck_replica_confirmed_age_ms{kind=\"" + kind + "\"}",
+            static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(age).count()));
+    }
+    for (const auto &[kind, count] : m_forwarder.refusalsByOldConfig()) {
+        add("basildeck_refusals_by_old_config_total{reason=\""
+                    + std::string(errorResponse(kind).name) + "\"}",
+            count);
+    }
     return text;
 }
 
--- a/src/edge/FleetView.cpp
+++ b/src/edge/FleetView.cpp
@@ -65,9 +65,15 @@
                  } });
     addReplica(vmKind, vmSettlingTimes, {},
                { [](const StoredObject &) {}, [](const std::string &) {} });
+    m_dependencies.forwarder.setConfigAge(
+            [&config = *replica(format.configKind)] { return config.confirmedAge(); },
+            oldConfigAge);
 }
 
-FleetView::~FleetView() = default;
+FleetView::~FleetView()
+{
+    m_dependencies.forwarder.setConfigAge({}, oldConfigAge);
+}
 
 void FleetView::addReplica(const std::string &kind, RestoredObjectFilter::SettlingTimes times,
                            const ObjectOrder &order,
@@ -299,6 +305,16 @@
     return ages;
 }
 
+std::map<std::string, Duration> FleetView::confirmedAges() const
+{
+    std::map<std::string, Duration> ages;
+    for (const auto &replica : m_replicas) {
+        if (const auto age = replica->confirmedAge())
+            ages[replica->kind()] = *age;
+    }
+    return ages;
+}
+
 void FleetView::tick()
 {
     settle();
@@ -339,7 +355,8 @@
 {
     if (m_catchUpClient.isBusy())
         return;
-    const Heartbeat *peer = peerToCatchUpWith(m_dependencies.loop.now());
+    const Time now = m_dependencies.loop.now();
+    const Heartbeat *peer = peerToCatchUpWith(now);
     if (peer == nullptr) {
         m_unhelpfulPeers.clear();
         return;
@@ -349,12 +366,13 @@
         return;
     m_catchUpClient.call(address.value(), "GET", ReplicaRelay::catchUpRequestPath(m_replicas), {},
                          catchUpTimeout,
-                         [this, vm = peer->vm](const Result<JsonHttpResponse> &response) {
-                             handleNewerChanges(vm, response);
+                         [this, vm = peer->vm, now](const Result<JsonHttpResponse> &response) {
+                             handleNewerChanges(vm, now, response);
                          });
 }
 
-void FleetView::handleNewerChanges(const std::string &vm, const Result<JsonHttpResponse> &response)
+void FleetView::handleNewerChanges(const std::string &vm, Time requestedAt,
+                                   const Result<JsonHttpResponse> &response)
 {
     // Whatever the outcome, the next request goes to another VM.
     m_unhelpfulPeers.insert(vm);
@@ -366,7 +384,8 @@
         return;
     }
     const auto before = versions();
-    if (!ReplicaRelay::apply(response.value().body, m_replicas) || versions() == before)
+    if (!ReplicaRelay::apply(response.value().body, m_replicas, requestedAt)
+        || versions() == before)
         return;
     BASILDECK_INFO(logComponent) << "caught up with another VM vm=" << vm;
     if (m_follower.isFollowing())
--- a/src/edge/FleetView.h
+++ b/src/edge/FleetView.h
@@ -37,6 +37,9 @@
     // How long another VM may be ahead before this VM fetches its changes although the store, or a
     // relay, seems reachable. Longer than a watch takes to report a change.
     static constexpr Duration maxReplicaLag = milliseconds(1200);
+    // Refusals are counted apart if the store last confirmed the configuration longer ago than
+    // this, the time after which a VM that has its contact back counts as connected.
+    static constexpr Duration oldConfigAge = seconds(4);
     // How long a VM that is not registered yet waits for the registrations of VMs that start at the
     // same time, before it decides whether it watches the store.
     static constexpr Duration registrationSettleTime = milliseconds(1000);
@@ -92,6 +95,8 @@
     std::uint64_t storeCallCount() const;
     // How long the current store call of each kind has been waiting for its response.
     std::map<std::string, Duration> storeCallAges() const;
+    // How long ago the store confirmed the replica of each kind, unless that is unknown.
+    std::map<std::string, Duration> confirmedAges() const;
     // Serves the changes of the replicas to VMs that follow this one.
     ReplicaRelay &relay() { return m_relay; }
 
@@ -122,7 +127,8 @@
     // should have reported the changes is sent again.
     const Heartbeat *peerToCatchUpWith(Time now);
     void fetchNewerChanges();
-    void handleNewerChanges(const std::string &vm, const Result<JsonHttpResponse> &response);
+    void handleNewerChanges(const std::string &vm, Time requestedAt,
+                            const Result<JsonHttpResponse> &response);
     void deregisterLostVm();
     // Adds the replica of a kind, whose changes pass through a filter.
     void addReplica(const std::string &kind, RestoredObjectFilter::SettlingTimes times,
--- a/src/edge/Forwarder.cpp
+++ b/src/edge/Forwarder.cpp
@@ -337,6 +337,7 @@
         kind = ErrorKind::UpstreamLost;
     const std::string routeName = request.route == nullptr ? std::string() : request.route->name;
     const int status = m_names.refusalStatus(kind);
+    const std::string configAge = noteConfigAge(kind);
     BASILDECK_INFO(logComponent)
             << "refused request=" << request.callerRequestId
             << " reason=" << errorResponse(kind).name << " status=" << status
@@ -345,7 +346,7 @@
             << std::chrono::duration_cast<milliseconds>(now - request.incoming.receivedAt).count()
             << " retry_after_ms=" << std::chrono::duration_cast<milliseconds>(retryAfter).count()
             << " config_revision=" << (request.routing ? request.routing->revision() : 0)
-            << (detail.empty() ? "" : " ") << detail << peerFields(request)
+            << configAge << (detail.empty() ? "" : " ") << detail << peerFields(request)
             << shutdownTimeline(request);
     LocalReply reply
             = makeRefusal(kind, status, m_names.requestId, request.callerRequestId, retryAfter);
--- a/src/edge/Forwarder.h
+++ b/src/edge/Forwarder.h
@@ -56,6 +56,14 @@
     ~Forwarder();
 
     void setRouting(std::shared_ptr<RoutingTable> routing);
+    // Returns how long ago the store confirmed the configuration, if that is known.
+    using ConfigAge = std::function<std::optional<Duration>()>;
+    // Refusals that follow from a configuration of more than the old age are counted.
+    void setConfigAge(ConfigAge configAge, Duration oldAge);
+    const std::map<ErrorKind, std::uint64_t> &refusalsByOldConfig() const
+    {
+        return m_refusalsByOldConfig;
+    }
     // The number of VMs in the fleet, among which limits are divided that VMs enforce without
     // exchanging messages.
     void setFleetVmCount(std::size_t count);
@@ -327,6 +335,9 @@
     // The detail explains the refusal in the log.
     void refuse(Request &request, ErrorKind kind, Duration retryAfter = Duration::zero(),
                 const std::string &detail = {});
+    // Counts a refusal by an old configuration. Returns how long ago the configuration was
+    // confirmed, as log field; empty if the refusal does not follow from it.
+    std::string noteConfigAge(ErrorKind kind);
     void finish(Request &request);
     std::string organisationName(const Request &request) const;
     // The other VM that takes part in a request, as log fields.
@@ -341,6 +352,9 @@
     TargetTable &m_targets;
     MemoryBudget m_memory;
     std::shared_ptr<RoutingTable> m_routing;
+    ConfigAge m_configAge;
+    Duration m_oldConfigAge{ 0 };
+    std::map<ErrorKind, std::uint64_t> m_refusalsByOldConfig;
     std::unordered_map<RequestId, std::unique_ptr<Request>> m_requests;
     QuotaManager m_quotas;
     Timer m_tokenTimer;                                // active while requests wait for tokens
--- a/src/edge/ForwarderChecks.cpp
+++ b/src/edge/ForwarderChecks.cpp
@@ -5,6 +5,7 @@
 #include "core/Hash.h"
 #include "core/Log.h"
 #include "decide/AllowedRegions.h"
+#include "edge/ConfirmedAge.h"
 
 #include <algorithm>
 #include <charconv>
@@ -66,6 +67,23 @@
     return true;
 }
 
+void Forwarder::setConfigAge(ConfigAge configAge, Duration oldAge)
+{
+    m_configAge = std::move(configAge);
+    m_oldConfigAge = oldAge;
+}
+
+std::string Forwarder::noteConfigAge(ErrorKind kind)
+{
+    if (kind != ErrorKind::KeyUnknown && kind != ErrorKind::KeyMissing
+        && kind != ErrorKind::UnknownRoute && kind != ErrorKind::OrganisationNotAllowed)
+        return {};
+    const auto age = m_configAge ? m_configAge() : std::nullopt;
+    if (age && *age > m_oldConfigAge)
+        ++m_refusalsByOldConfig[kind];
+    return " config_confirmed_ms=" + confirmedAgeText(age);
+}
+
 void Forwarder::prepare(Request &request)
 {
     const HeaderFields &fields = request.incoming.head.fields;
--- a/src/edge/ObjectReplica.cpp
+++ b/src/edge/ObjectReplica.cpp
@@ -1,6 +1,7 @@
 #include "edge/ObjectReplica.h"
 
 #include "core/Log.h"
+#include "edge/ConfirmedAge.h"
 
 #include <algorithm>
 #include <utility>
@@ -58,7 +59,8 @@
     BASILDECK_INFO(logComponent)
             << (reachable ? "store reachable" : "store unreachable") << " kind=" << m_kind
             << " version=" << m_version << " reason=\"" << reason << "\" call_ms="
-            << std::chrono::duration_cast<milliseconds>(m_loop.now() - m_calledAt).count();
+            << std::chrono::duration_cast<milliseconds>(m_loop.now() - m_calledAt).count()
+            << " confirmed_ms=" << confirmedAgeText(confirmedAge());
     m_callbacks.onReachabilityChanged(reachable);
 }
 
@@ -140,8 +142,10 @@
 void ObjectReplica::list()
 {
     m_needsFullList = true;
-    if (m_listContinuation.empty())
+    if (m_listContinuation.empty()) {
         m_listed.clear();
+        m_listCalledAt = m_loop.now();
+    }
     call(m_protocol.listPath(m_kind, m_listContinuation), callTimeout,
          &ObjectReplica::handleListResponse);
 }
@@ -183,6 +187,22 @@
     return m_client.isBusy() ? m_loop.now() - m_calledAt : Duration::zero();
 }
 
+std::optional<Duration> ObjectReplica::confirmedAge() const
+{
+    return m_confirmedAt ? std::optional<Duration>(m_loop.now() - *m_confirmedAt) : std::nullopt;
+}
+
+void ObjectReplica::confirm(const StoreVersion &version, Time at)
+{
+    if (version <= m_version && !isOfEarlierEra())
+        recordConfirmation(at);
+}
+
+void ObjectReplica::recordConfirmation(Time at)
+{
+    m_confirmedAt = std::max(m_confirmedAt, std::optional<Time>(at));
+}
+
 void ObjectReplica::handleListResponse(const Result<JsonHttpResponse> &response)
 {
     if (response && !acceptEra(response.value()))
@@ -224,6 +244,7 @@
         return;
     }
     m_backoff = initialBackoff;
+    recordConfirmation(m_listCalledAt);
     replaceAll(std::exchange(m_listed, {}), m_listVersion);
     if (m_isWatching)
         watch();
@@ -335,6 +356,7 @@
     call(m_protocol.watchPath(m_kind, m_version.revision, wait), wait + callTimeout,
          &ObjectReplica::handleWatchResponse);
     m_isWatchPending = true;
+    m_watchEndsAt = m_calledAt + wait;
 }
 
 void ObjectReplica::handleWatchResponse(const Result<JsonHttpResponse> &response)
@@ -375,6 +397,8 @@
         return;
     }
     m_backoff = initialBackoff;
+    // A response that this VM reads late, because it was paused, says nothing about the time since.
+    recordConfirmation(std::min(m_loop.now(), m_watchEndsAt));
     for (const ObjectChange &change : changes.value().changes)
         apply(change, changes.value().storeRevision);
     m_version.revision = changes.value().storeRevision;
--- a/src/edge/ObjectReplica.h
+++ b/src/edge/ObjectReplica.h
@@ -88,6 +88,13 @@
     std::uint64_t callCount() const { return m_callCount; }
     // How long the current call has been waiting for its response; zero if there is none.
     Duration callAge() const;
+    // When the replica was last known to be as new as the store: the first page of a list was
+    // requested, a watch was answered or its wait had ended, or another VM confirmed its version.
+    // Nothing if that never happened.
+    std::optional<Time> confirmedAt() const { return m_confirmedAt; }
+    std::optional<Duration> confirmedAge() const;
+    // Another VM knows that the store had no newer version than this at a time.
+    void confirm(const StoreVersion &version, Time at);
 
     // Replaces the replica by a snapshot from another VM if that is newer. Returns whether it was.
     bool adoptSnapshot(std::map<std::string, StoredObject> objects, const StoreVersion &version);
@@ -103,6 +110,7 @@
     void list();
     // Records whether a call got a response.
     void recordResponse(bool received);
+    void recordConfirmation(Time at);
     void handleListResponse(const Result<JsonHttpResponse> &response);
     void watch();
     void watchFor(milliseconds wait);
@@ -153,6 +161,9 @@
     std::uint64_t m_watchEra = 0; // of the version from which changes are watched
     std::uint64_t m_callCount = 0;
     Time m_calledAt{};
+    std::optional<Time> m_confirmedAt;
+    Time m_listCalledAt{}; // of the first page
+    Time m_watchEndsAt{};  // when the store answers the current watch at the latest
     bool m_isWatchPending = false;
     // How long the store holds the next watch open. Doubles from each change on.
     milliseconds m_nextWait{ m_maxWait };
--- a/src/edge/ReplicaFollower.cpp
+++ b/src/edge/ReplicaFollower.cpp
@@ -76,12 +76,12 @@
                                      [](const auto &replica) { return !replica->isListed(); });
     m_client.call(address.value(), "GET", ReplicaRelay::requestPath(m_replicas, wait), {},
                   wait + (isEmpty ? snapshotTimeout : responseTimeout),
-                  [this, relay](const Result<JsonHttpResponse> &response) {
-                      handleResponse(relay, response);
+                  [this, relay, waitEndsAt = now + wait](const Result<JsonHttpResponse> &response) {
+                      handleResponse(relay, waitEndsAt, response);
                   });
 }
 
-void ReplicaFollower::handleResponse(const std::string &relay,
+void ReplicaFollower::handleResponse(const std::string &relay, Time waitEndsAt,
                                      const Result<JsonHttpResponse> &response)
 {
     if (!response || response.value().status != statusOk) {
@@ -91,7 +91,8 @@
     }
     m_selection.recordSuccess(relay);
     setFollowing(true, relay, "followed");
-    const bool isValid = ReplicaRelay::apply(response.value().body, m_replicas);
+    const bool isValid = ReplicaRelay::apply(response.value().body, m_replicas,
+                                             std::min(m_loop.now(), waitEndsAt));
     if (!isValid)
         ++m_position;
     m_callbacks.onStateChanged();
--- a/src/edge/ReplicaFollower.h
+++ b/src/edge/ReplicaFollower.h
@@ -50,7 +50,9 @@
 
 private:
     void poll();
-    void handleResponse(const std::string &relay, const Result<JsonHttpResponse> &response);
+    // The response is that to a request whose wait ends at a time.
+    void handleResponse(const std::string &relay, Time waitEndsAt,
+                        const Result<JsonHttpResponse> &response);
     void handleFailure(const std::string &relay, const std::string &reason);
     void setFollowing(bool following, const std::string &relay, const std::string &reason);
 
--- a/src/edge/ReplicaRelay.cpp
+++ b/src/edge/ReplicaRelay.cpp
@@ -15,6 +15,7 @@
 constexpr std::string_view waitKey = "wait_ms";
 constexpr Duration timeoutCheckPeriod = milliseconds(100);
 constexpr int maxResponseDepth = 80; // of a response, a little more than that of its objects
+constexpr std::uint64_t maxStatedAgeMs = 604'800'000;
 
 using nlohmann::json;
 
@@ -102,6 +103,30 @@
     replica.adoptChanges(changes, version);
 }
 
+json describeConfirmation(const ObjectReplica &replica, Duration age)
+{
+    return { { "era", replica.version().era },
+             { "revision", replica.version().revision },
+             { "age_ms", std::chrono::ceil<milliseconds>(age).count() } };
+}
+
+// Ignores what cannot be read, because the changes of the response hold without it.
+void applyConfirmation(const json &stated, ObjectReplica &replica, Time respondedAt)
+{
+    const auto number = [&](const char *name) {
+        const auto field = stated.find(name);
+        return field != stated.end() && field->is_number_unsigned()
+                       ? std::optional(field->get<std::uint64_t>())
+                       : std::nullopt;
+    };
+    const auto era = number("era");
+    const auto revision = number("revision");
+    const auto age = number("age_ms");
+    if (!era || !revision || !age || *age > maxStatedAgeMs)
+        return;
+    replica.confirm({ *era, *revision }, respondedAt - milliseconds(*age));
+}
+
 } // namespace
 
 ReplicaRelay::ReplicaRelay(EventLoop &loop,
@@ -228,8 +253,12 @@
     json response = json::object();
     for (const auto &replica : m_replicas) {
         const auto known = versions.find(replica->kind());
-        if (known != versions.end() && replica->version() > known->second)
+        if (known == versions.end())
+            continue;
+        if (replica->version() > known->second)
             response[replica->kind()] = describe(*replica, known->second);
+        if (const auto age = replica->confirmedAge())
+            response[confirmedKey][replica->kind()] = describeConfirmation(*replica, *age);
     }
     send(sink, "200 OK", response.dump(-1, ' ', false, json::error_handler_t::replace));
 }
@@ -240,7 +269,8 @@
 }
 
 bool ReplicaRelay::apply(const std::string &body,
-                         const std::vector<std::unique_ptr<ObjectReplica>> &replicas)
+                         const std::vector<std::unique_ptr<ObjectReplica>> &replicas,
+                         std::optional<Time> respondedAt)
 {
     try {
         // An earlier build passes on what it read, however deeply nested. Copies of a value
@@ -253,6 +283,14 @@
             if (kind != response.end())
                 applyKind(*kind, *replica);
         }
+        const auto confirmed = response.find(confirmedKey);
+        if (confirmed == response.end() || !respondedAt)
+            return true;
+        for (const auto &replica : replicas) {
+            const auto stated = confirmed->find(replica->kind());
+            if (stated != confirmed->end())
+                applyConfirmation(*stated, *replica, *respondedAt);
+        }
         return true;
     } catch (const json::exception &error) {
         BASILDECK_WARNING(logComponent) << "invalid changes from a relay: " << error.what();
--- a/src/edge/ReplicaRelay.h
+++ b/src/edge/ReplicaRelay.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -30,6 +31,10 @@
     // The path of requests of VMs that are behind this one. They are served by every VM.
     static constexpr std::string_view catchUpPath = "/newer?";
 
+    // The key of a response under which the relay states, for each kind, its version and how long
+    // ago the store confirmed that. Requests name kinds as parameters, so no kind has a '='.
+    static constexpr std::string_view confirmedKey = "=confirmed";
+
     // The replicas must outlive the relay.
     ReplicaRelay(EventLoop &loop, const std::vector<std::unique_ptr<ObjectReplica>> &replicas);
 
@@ -49,9 +54,12 @@
                                    milliseconds wait);
     static std::string
     catchUpRequestPath(const std::vector<std::unique_ptr<ObjectReplica>> &replicas);
-    // Applies a response to the replicas of a follower. Returns false if it is invalid.
+    // Applies a response to the replicas of a follower. Returns false if it is invalid. What the
+    // relay states about confirmations is counted from the time at which it responded, at the
+    // earliest, and ignored without one.
     static bool apply(const std::string &body,
-                      const std::vector<std::unique_ptr<ObjectReplica>> &replicas);
+                      const std::vector<std::unique_ptr<ObjectReplica>> &replicas,
+                      std::optional<Time> respondedAt = std::nullopt);
 
 private:
     struct Waiting
--- a/tests/EdgeFixture.cpp
+++ b/tests/EdgeFixture.cpp
@@ -220,6 +220,18 @@
     });
 }
 
+std::uint64_t EdgeFixture::setConfigAge(std::optional<Duration> age, Duration oldAge,
+                                        ErrorKind reason)
+{
+    std::uint64_t count = 0;
+    runOnLoop([&] {
+        m_forwarder->setConfigAge([age] { return age; }, oldAge);
+        const auto found = m_forwarder->refusalsByOldConfig().find(reason);
+        count = found == m_forwarder->refusalsByOldConfig().end() ? 0 : found->second;
+    });
+    return count;
+}
+
 void EdgeFixture::setLoansGranted(bool granted)
 {
     runOnLoop([&] {
--- a/tests/EdgeFixture.h
+++ b/tests/EdgeFixture.h
@@ -53,6 +53,9 @@
     std::string metrics();
     // The edge knows another configuration from now on, without the route of a prefix.
     void removeRoute(const std::string &prefix);
+    // Sets how long ago the store confirmed the configuration. Returns the refusals for a reason
+    // that were counted as by an old configuration until then.
+    std::uint64_t setConfigAge(std::optional<Duration> age, Duration oldAge, ErrorKind reason);
     // Sets whether another VM grants a loan of one quota token per organisation when the edge
     // requests tokens, in the same loop iteration.
     void setLoansGranted(bool granted);
--- a/tests/ObjectReplicaTest.cpp
+++ b/tests/ObjectReplicaTest.cpp
@@ -250,6 +250,40 @@
     CHECK(fixture.awaitRequest() == firstListRequest);
 }
 
+TEST_CASE("lists and watches that the store answered confirm the replica, others do not")
+{
+    ReplicaFixture fixture;
+    const auto now = [] { return std::chrono::steady_clock::now(); };
+    fixture.awaitRequest();
+    CHECK_FALSE(fixture.replica().confirmedAt());
+    const Time listRequested = now();
+    fixture.respond(200, listPage(objectJson("a", 1), 5));
+    fixture.awaitRequest();
+    const auto listed = fixture.replica().confirmedAt();
+    REQUIRE(listed);
+    CHECK(*listed <= listRequested);
+    const Time watchRequested = now();
+    fixture.respond(200, R"({"events":[],"store_revision":6})");
+    fixture.awaitRequest();
+    const auto watched = fixture.replica().confirmedAt();
+    CHECK(watched >= watchRequested);
+    fixture.respond(200, R"({"events":[],"store_revision":4})");
+    fixture.awaitRequest();
+    fixture.respond(503, "{}");
+    CHECK(fixture.awaitRequest().find("&wait_ms=0 ") != std::string::npos);
+    CHECK(fixture.replica().confirmedAt() == watched);
+    // Read later than it was due.
+    const Time due = now();
+    fixture.respond(200, R"({"events":[],"store_revision":6})");
+    fixture.awaitRequest();
+    CHECK(fixture.replica().confirmedAt() > watched);
+    CHECK(fixture.replica().confirmedAt() <= due);
+    fixture.replica().confirm({ 0, 7 }, now());
+    CHECK(fixture.replica().confirmedAt() <= due);
+    fixture.replica().confirm({ 0, 6 }, now());
+    CHECK(fixture.replica().confirmedAt() > due);
+}
+
 TEST_CASE("an older response of the same era does not cause calls in a tight loop")
 {
     ReplicaFixture fixture;
--- a/tests/OperationsLogTest.cpp
+++ b/tests/OperationsLogTest.cpp
@@ -96,6 +96,34 @@
     CHECK(log.line({ "beta-key" }).empty());
 }
 
+TEST_CASE("a refusal by configuration is logged with the age of the configuration")
+{
+    const LogCapture log;
+    EdgeFixture fixture;
+    const ErrorKind unknown = ErrorKind::KeyUnknown;
+    const auto refuse = [&](const std::string &id, const std::string &path,
+                            const std::string &key) {
+        auto caller = fixture.sendAsCaller("GET " + path + " HTTP/1.1\r\nHost: gauge.example\r\n"
+                                           + "Request-Id: " + id + "\r\n" + key + "\r\n");
+        REQUIRE(readResponse(*caller));
+        return log.line({ "refused", "request=" + id });
+    };
+    const std::string wrongKey = "Api-Key: wrong\r\n";
+    CHECK(refuse("u-1", "/safe/", wrongKey).find(" config_confirmed_ms=unknown")
+          != std::string::npos);
+    CHECK(fixture.setConfigAge(milliseconds(3999), seconds(4), unknown) == 0);
+    CHECK(refuse("u-2", "/safe/", wrongKey).find(" config_confirmed_ms=3999") != std::string::npos);
+    CHECK(fixture.setConfigAge(milliseconds(4001), seconds(4), unknown) == 0);
+    CHECK(refuse("u-3", "/safe/", wrongKey).find(" config_confirmed_ms=4001") != std::string::npos);
+    CHECK(hasFields(refuse("u-4", "/safe/", ""), { "config_confirmed_ms" }));
+    CHECK(hasFields(refuse("u-5", "/nowhere/", wrongKey), { "config_confirmed_ms" }));
+    CHECK_FALSE(
+            hasFields(refuse("u-6", "/safe/", "Api-Key: beta-key\r\n"), { "config_confirmed_ms" }));
+    CHECK(fixture.setConfigAge({}, seconds(4), unknown) == 1);
+    CHECK(fixture.setConfigAge({}, seconds(4), ErrorKind::KeyMissing) == 1);
+    CHECK(fixture.setConfigAge({}, seconds(4), ErrorKind::UnknownRoute) == 1);
+}
+
 TEST_CASE("a refusal for lack of slots logs the candidate targets and their load")
 {
     const LogCapture log;
--- a/tests/ReplicaRelayTest.cpp
+++ b/tests/ReplicaRelayTest.cpp
@@ -199,6 +199,83 @@
     CHECK(vm.servers().changesSince({ 2, 3 })->empty());
 }
 
+// The response of a build that states no confirmations.
+constexpr const char *earlierResponse
+        = R"({"servers":{"changes":[{"content":{"slots":11},"deleted":false,"name":"c",)"
+          R"("revision":11}],"era":0,"revision":12}})";
+
+TEST_CASE("a relay states how long ago the store confirmed its replicas")
+{
+    EventLoop loop;
+    Vm source(loop);
+    Vm follower(loop);
+    const StoredObject object{ "a", 5, 1 };
+    for (Vm *vm : { &source, &follower })
+        vm->servers().adoptSnapshot({ { "a", object } }, { 0, 10 });
+    const std::string request = query(follower, milliseconds(0));
+    source.relay.setServing(true);
+    source.servers().adoptChanges({ stored("c", 11) }, { 0, 12 });
+    Response unknown;
+    source.relay.handle(request, unknown.sink());
+    CHECK(unknown.body == earlierResponse);
+
+    const Duration age = seconds(30);
+    source.servers().confirm({ 0, 12 }, loop.now() - age);
+    for (const bool isCatchUp : { false, true }) {
+        CAPTURE(isCatchUp);
+        Vm behind(loop);
+        behind.servers().adoptSnapshot({ { "a", object } }, { 0, 10 });
+        Response response;
+        if (isCatchUp)
+            source.relay.handleCatchUp(request, response.sink());
+        else
+            source.relay.handle(request, response.sink());
+        const Time now = loop.now();
+        CHECK(ReplicaRelay::apply(response.body, behind.replicas, now));
+        CHECK(behind.events == "+a +c ");
+        REQUIRE(behind.servers().confirmedAt());
+        CHECK(now - *behind.servers().confirmedAt() >= age);
+        CHECK(now - *behind.servers().confirmedAt() < age + seconds(10));
+        // Earlier builds read the values of the kinds only.
+        auto known = nlohmann::json::parse(response.body);
+        CHECK(known.erase(std::string(ReplicaRelay::confirmedKey)) == 1);
+        CHECK(known.dump() == earlierResponse);
+    }
+}
+
+TEST_CASE("the response of a relay that states no confirmations is applied, and confirms nothing")
+{
+    EventLoop loop;
+    Vm follower(loop);
+    follower.servers().adoptSnapshot({ { "a", { "a", 5, 1 } } }, { 0, 10 });
+    CHECK(ReplicaRelay::apply(earlierResponse, follower.replicas, loop.now()));
+    CHECK(follower.servers().version() == StoreVersion{ 0, 12 });
+    CHECK_FALSE(follower.servers().confirmedAt());
+}
+
+TEST_CASE("only a confirmation of a version that the follower has counts")
+{
+    EventLoop loop;
+    Vm follower(loop);
+    follower.servers().adoptSnapshot({ { "a", { "a", 5, 1 } } }, { 1, 10 });
+    for (const char *confirmation :
+         { R"({"servers":{"era":1,"revision":11,"age_ms":0}})",
+           R"({"servers":{"era":2,"revision":1,"age_ms":0}})",
+           R"({"servers":{"era":1,"revision":10}})", R"({"servers":1})", "1", "[]",
+           R"({"servers":{"era":1,"revision":10,"age_ms":-1}})",
+           R"({"servers":{"era":1,"revision":10,"age_ms":18446744073709551615}})" }) {
+        CAPTURE(confirmation);
+        CHECK(ReplicaRelay::apply(R"({"=confirmed":)" + std::string(confirmation) + "}",
+                                  follower.replicas, loop.now()));
+        CHECK_FALSE(follower.servers().confirmedAt());
+    }
+    const std::string valid = R"({"=confirmed":{"servers":{"era":1,"revision":9,"age_ms":7}}})";
+    CHECK(ReplicaRelay::apply(valid, follower.replicas));
+    CHECK_FALSE(follower.servers().confirmedAt());
+    CHECK(ReplicaRelay::apply(valid, follower.replicas, loop.now()));
+    CHECK(follower.servers().confirmedAge() >= milliseconds(7));
+}
+
 TEST_CASE("malformed requests and responses do no harm")
 {
     EventLoop loop;
