Find a lost watch within 4 s, also long after the last change and on every VM

Callers saw 401 for valid keys, and requests of withdrawn keys were served, for up to 4.9 s after all watches of the fleet were lost. Cause: a watch that the store never answers shows only when its wait ends. The wait doubled from a change on up to 5 to 10 s, so how long a loss stayed unknown depended on how long ago the last change was, and the other VMs followed up to 2 s after the first one that noticed. Change: watches of the configuration, targets and evacuations wait for 1.5 to 1.8 s, the first one after a change for half of that. With the time limit of a call, the retry and a new connection this stays below 4 s, the time after which the users take a VM to be connected again; a static_assert holds the sum together. No VM depends on another one that noticed. Registrations wait as before: VMs learn from heartbeats which others serve, and each call is billed. Tests: ObjectReplicaTest expected waits up to 10 s, and expects those of at most 1.8 s now. The test of waits at different times had one limit for all kinds; it has one for each now, and checks besides that a VM finds a lost watch in time by itself, which the gaps between the ends of long waits were for.

--- a/src/edge/FleetView.cpp
+++ b/src/edge/FleetView.cpp
@@ -53,8 +53,7 @@
                { [this](const StoredObject &object) { handleTarget(object); },
                  [this](const std::string &name) {
                      m_dependencies.targets.remove(name, m_dependencies.loop.now());
-                 } },
-               targetWatchDelay);
+                 } });
     addReplica(format.evacuationKind, evacuationSettlingTimes, {},
                { [this](const StoredObject &object) {
                     m_dependencies.targets.setEvacuated(object.name, true,
@@ -75,13 +74,14 @@
     m_dependencies.forwarder.setConfigAge({}, oldConfigAge);
 }
 
-void FleetView::addReplica(const std::string &kind, RestoredObjectFilter::SettlingTimes times,
+void FleetView::addReplica(const std::string &kind,
+                           RestoredObjectFilter::SettlingTimes settlingTimes,
                            const ObjectOrder &order,
-                           const RestoredObjectFilter::Callbacks &callbacks, Duration watchDelay)
+                           const RestoredObjectFilter::Callbacks &callbacks)
 {
     EventLoop &loop = m_dependencies.loop;
     RestoredObjectFilter &filter
-            = m_filters.try_emplace(kind, kind, times, order, callbacks).first->second;
+            = m_filters.try_emplace(kind, kind, settlingTimes, order, callbacks).first->second;
     ObjectReplica::Callbacks replicaCallbacks{
         [&](const StoredObject &object) { filter.stored(object, loop.now()); },
         [&](const std::string &name) { filter.deleted(name, loop.now()); },
@@ -95,10 +95,12 @@
         [this](std::uint64_t era) { raiseEra(era); },
         [this] { renewWatches(); },
     };
-    m_replicas.push_back(std::make_unique<ObjectReplica>(
-            loop, m_dependencies.protocol, m_dependencies.settings.storeAddress, kind,
-            std::move(replicaCallbacks), watchDelay,
-            watchTimeout(m_dependencies.settings.vmName, kind)));
+    WatchTimes times = watchTimes(m_dependencies.settings.vmName, kind);
+    if (kind == m_dependencies.format.targetKind)
+        times.delay = targetWatchDelay;
+    m_replicas.push_back(std::make_unique<ObjectReplica>(loop, m_dependencies.protocol,
+                                                         m_dependencies.settings.storeAddress, kind,
+                                                         std::move(replicaCallbacks), times));
 }
 
 void FleetView::settle()
@@ -143,11 +145,15 @@
         replica->renewWatch(now);
 }
 
-milliseconds FleetView::watchTimeout(const std::string &vm, const std::string &kind)
+WatchTimes FleetView::watchTimes(const std::string &vm, const std::string &kind)
 {
+    const WatchLimits &limits = kind == vmKind ? vmWatchLimits : watchLimits;
     const std::uint64_t hash = stableHash(vm, kind);
-    return ObjectReplica::watchTimeout
-           - milliseconds(hash % static_cast<std::uint64_t>(watchTimeoutSpread.count()));
+    WatchTimes times;
+    times.maxWait = limits.maxWait
+                    - milliseconds(hash % static_cast<std::uint64_t>(limits.spread.count()));
+    times.firstWait = times.maxWait / limits.firstWaitDivisor;
+    return times;
 }
 
 bool FleetView::isStoreReachedDirectly() const
--- a/src/edge/FleetView.h
+++ b/src/edge/FleetView.h
@@ -31,15 +31,24 @@
     static constexpr Duration targetWatchDelay = milliseconds(600);
     // How often to check whether another VM has newer objects.
     static constexpr Duration tickPeriod = milliseconds(500);
-    // The watches of different VMs and kinds end at different times, up to this much before
-    // ObjectReplica::watchTimeout, so that some fail while the store is silent.
-    static constexpr milliseconds watchTimeoutSpread{ 5000 };
+    // How long watches of a kind wait. Those of different VMs and kinds end at different times, so
+    // that some fail while the store is silent.
+    struct WatchLimits
+    {
+        milliseconds maxWait;
+        milliseconds spread; // they end up to this much earlier
+        int firstWaitDivisor;
+    };
+    static constexpr WatchLimits watchLimits{ WatchTimes().maxWait, milliseconds(300), 2 };
+    // VMs learn from heartbeats which others serve, so their registrations may be known later. Each
+    // call to the store is billed.
+    static constexpr WatchLimits vmWatchLimits{ milliseconds(10000), milliseconds(5000), 10 };
     // How long another VM may be ahead before this VM fetches its changes although the store, or a
     // relay, seems reachable. Longer than a watch takes to report a change.
     static constexpr Duration maxReplicaLag = milliseconds(1200);
     // Refusals are counted apart if the store last confirmed the configuration longer ago than
-    // this, the time after which a VM that has its contact back counts as connected.
-    static constexpr Duration oldConfigAge = seconds(4);
+    // this.
+    static constexpr Duration oldConfigAge = ObjectReplica::maxChangeLag;
     // How long a VM that is not registered yet waits for the registrations of VMs that start at the
     // same time, before it decides whether it watches the store.
     static constexpr Duration registrationSettleTime = milliseconds(1000);
@@ -87,7 +96,7 @@
     void deregister(std::function<void()> onDeregistered);
 
     // How long the store holds the watches of a VM for a kind open.
-    static milliseconds watchTimeout(const std::string &vm, const std::string &kind);
+    static WatchTimes watchTimes(const std::string &vm, const std::string &kind);
 
     bool isConfigured() const { return m_isConfigured; }
     // The store version of the last known change of each kind.
@@ -131,9 +140,8 @@
                             const Result<JsonHttpResponse> &response);
     void deregisterLostVm();
     // Adds the replica of a kind, whose changes pass through a filter.
-    void addReplica(const std::string &kind, RestoredObjectFilter::SettlingTimes times,
-                    const ObjectOrder &order, const RestoredObjectFilter::Callbacks &callbacks,
-                    Duration watchDelay = ObjectReplica::minWatchDelay);
+    void addReplica(const std::string &kind, RestoredObjectFilter::SettlingTimes settlingTimes,
+                    const ObjectOrder &order, const RestoredObjectFilter::Callbacks &callbacks);
     ObjectReplica *replica(const std::string &kind) const;
     void settle();
 
--- a/src/edge/ObjectReplica.cpp
+++ b/src/edge/ObjectReplica.cpp
@@ -18,15 +18,13 @@
 } // namespace
 
 ObjectReplica::ObjectReplica(EventLoop &loop, const ObjectProtocol &protocol, Address store,
-                             std::string kind, Callbacks callbacks, Duration watchDelay,
-                             milliseconds maxWait)
+                             std::string kind, Callbacks callbacks, WatchTimes watchTimes)
     : m_loop(loop)
     , m_protocol(protocol)
     , m_store(std::move(store))
     , m_kind(std::move(kind))
     , m_callbacks(std::move(callbacks))
-    , m_watchDelay(watchDelay)
-    , m_maxWait(maxWait)
+    , m_watchTimes(watchTimes)
     , m_client(loop)
     , m_retryTimer(loop, [this] { m_needsFullList ? list() : watch(); })
 {}
@@ -347,7 +345,7 @@
         return;
     }
     watchFor(m_nextWait);
-    m_nextWait = std::min(m_maxWait, m_nextWait * 2);
+    m_nextWait = std::min(m_watchTimes.maxWait, m_nextWait * 2);
 }
 
 void ObjectReplica::watchFor(milliseconds wait)
@@ -407,10 +405,10 @@
         return;
     }
     m_lastChange = m_version;
-    m_nextWait = m_maxWait / firstWatchDivisor;
+    m_nextWait = m_watchTimes.firstWait;
     m_callbacks.onBatchApplied();
     if (m_isWatching)
-        m_retryTimer.startOnce(m_watchDelay);
+        m_retryTimer.startOnce(m_watchTimes.delay);
 }
 
 void ObjectReplica::apply(const ObjectChange &change, std::uint64_t batchRevision)
--- a/src/edge/ObjectReplica.h
+++ b/src/edge/ObjectReplica.h
@@ -14,6 +14,19 @@
 
 namespace basildeck {
 
+// When watches are sent, and how long the store holds them open without changes.
+struct WatchTimes
+{
+    // Delay between a change and the next watch, so that a burst of changes costs one call.
+    Duration delay = milliseconds(250);
+    // Wait of the first watch after a change. Each further one waits for twice as long, up to
+    // maxWait. The VMs that watch the store send the first ones at about the same time, so if the
+    // store is silent then, all of them lose theirs, and nobody has newer revisions to announce.
+    milliseconds firstWait{ 900 };
+    // The store never responds to a watch that it lost, so only the end of the wait shows the loss.
+    milliseconds maxWait{ 1800 };
+};
+
 // A local replica of all store objects of one kind, kept up to date with list and watch calls, or
 // with the changes that another VM relays. While this VM cannot reach the store, newer snapshots
 // from other VMs can be adopted. The version of the replica never decreases: when the store returns
@@ -21,19 +34,15 @@
 class ObjectReplica
 {
 public:
-    // How long the store holds a watch call open without changes, at most. Each call to the store
-    // is billed, so this is long; a watch that hangs is detected by the revisions that other VMs
-    // announce.
-    static constexpr milliseconds watchTimeout{ 10000 };
-    // The first watch after a change is held open for this fraction of the usual time, and each
-    // further one for twice as long as the one before. The VMs that watch the store send the first
-    // ones at about the same time, so if the store is silent then, all of them lose theirs, and
-    // nobody has newer revisions to announce.
-    static constexpr int firstWatchDivisor = 10;
-    // Delay between a change and the next watch, so that a burst of changes costs one call.
-    static constexpr Duration minWatchDelay = milliseconds(250);
+    // A VM that reaches the store knows each change after this time at most, also if the store lost
+    // the watch that would have reported it.
+    static constexpr Duration maxChangeLag = seconds(4);
     static constexpr Duration callTimeout = milliseconds(1500);
     static constexpr Duration initialBackoff = milliseconds(150);
+    // Time for a new connection and a call that returns at once, between distant regions.
+    static constexpr Duration reconnectionTime = milliseconds(500);
+    static_assert(WatchTimes().maxWait + callTimeout + initialBackoff + reconnectionTime
+                  <= maxChangeLag);
     static constexpr Duration maxBackoff = milliseconds(1000);
     // Changes that are kept for VMs that follow this replica.
     static constexpr std::size_t maxLoggedChanges = 4096;
@@ -56,10 +65,8 @@
         std::function<void()> onResponsive = [] {};
     };
 
-    // The store holds watches open for maxWait.
     ObjectReplica(EventLoop &loop, const ObjectProtocol &protocol, Address store, std::string kind,
-                  Callbacks callbacks, Duration watchDelay = minWatchDelay,
-                  milliseconds maxWait = watchTimeout);
+                  Callbacks callbacks, WatchTimes watchTimes = {});
 
     // Starts to list and watch the store, from the version of the replica if there is one.
     void start();
@@ -144,8 +151,7 @@
     Address m_store;
     std::string m_kind;
     Callbacks m_callbacks;
-    Duration m_watchDelay;
-    milliseconds m_maxWait;
+    WatchTimes m_watchTimes;
     JsonHttpClient m_client;
     Timer m_retryTimer;
     std::map<std::string, StoredObject> m_objects;
@@ -165,8 +171,8 @@
     Time m_listCalledAt{}; // of the first page
     Time m_watchEndsAt{};  // when the store answers the current watch at the latest
     bool m_isWatchPending = false;
-    // How long the store holds the next watch open. Doubles from each change on.
-    milliseconds m_nextWait{ m_maxWait };
+    // How long the store holds the next watch open.
+    milliseconds m_nextWait = m_watchTimes.maxWait;
     bool m_isUnresponsive = false; // the last call got no response
     bool m_isWatching = false;
     bool m_reachable = false;
--- a/tests/FleetViewTest.cpp
+++ b/tests/FleetViewTest.cpp
@@ -317,18 +317,24 @@
 
 TEST_CASE("watches of VMs and kinds end at different times")
 {
-    std::set<milliseconds> timeouts;
+    std::set<milliseconds> waits;
     for (const char *vm : { "vm-1", "vm-2", "vm-3", "vm-4", "vm-5", "vm-6", "vm-7" }) {
-        for (const char *kind : { "config", "servers", "evacuations", FleetView::vmKind }) {
-            const milliseconds timeout = FleetView::watchTimeout(vm, kind);
-            CHECK(timeout <= ObjectReplica::watchTimeout);
-            CHECK(timeout > ObjectReplica::watchTimeout - FleetView::watchTimeoutSpread);
-            timeouts.insert(timeout);
+        for (const std::string kind : { "config", "servers", "evacuations", FleetView::vmKind }) {
+            const milliseconds wait = FleetView::watchTimes(vm, kind).maxWait;
+            const auto &limits
+                    = kind == FleetView::vmKind ? FleetView::vmWatchLimits : FleetView::watchLimits;
+            CHECK(wait <= limits.maxWait);
+            CHECK(wait > limits.maxWait - limits.spread);
+            waits.insert(wait);
         }
     }
-    CHECK(timeouts.size() == 28);
+    CHECK(waits.size() == 28);
+    // A VM finds out by itself, and in time, that a watch of what it decides by was lost.
+    const milliseconds longest = FleetView::watchLimits.maxWait;
+    CHECK(longest + ObjectReplica::callTimeout < ObjectReplica::maxChangeLag);
     // No second passes in which no watch of the fleet ends.
-    for (auto next = std::next(timeouts.begin()); next != timeouts.end(); ++next)
+    for (auto next = std::next(waits.begin()); *std::prev(next) < longest && *next <= longest;
+         ++next)
         CHECK(*next - *std::prev(next) < seconds(1));
 }
 
--- a/tests/ObjectReplicaTest.cpp
+++ b/tests/ObjectReplicaTest.cpp
@@ -82,17 +82,17 @@
     fixture.respond(200, listPage(objectJson("a", 1), 5, true));
     CHECK(fixture.awaitRequest() == "GET /api/objects/servers?after=a HTTP/1.1");
     fixture.respond(200, listPage(objectJson("b", 2), 7));
-    CHECK(fixture.awaitRequest() == "GET /api/objects/servers?watch=5&wait_ms=10000 HTTP/1.1");
+    CHECK(fixture.awaitRequest() == "GET /api/objects/servers?watch=5&wait_ms=1800 HTTP/1.1");
     CHECK(fixture.takeEvents("up +a +b .") == "up +a +b .");
     fixture.respond(200, changeEvent(objectJson("a", 8), false, 8));
     CHECK(fixture.takeEvents("+a .") == "+a .");
-    CHECK(fixture.awaitRequest() == "GET /api/objects/servers?watch=8&wait_ms=1000 HTTP/1.1");
+    CHECK(fixture.awaitRequest() == "GET /api/objects/servers?watch=8&wait_ms=900 HTTP/1.1");
     fixture.respond(200, changeEvent(objectJson("b", 9), true, 9));
     CHECK(fixture.takeEvents("-b .") == "-b .");
     CHECK(fixture.replica().lastChange().revision == 9);
     CHECK(fixture.awaitRequest().find("watch=9&") != std::string::npos);
     fixture.respond(200, R"({"events":[],"store_revision":12})");
-    CHECK(fixture.awaitRequest() == "GET /api/objects/servers?watch=12&wait_ms=2000 HTTP/1.1");
+    CHECK(fixture.awaitRequest() == "GET /api/objects/servers?watch=12&wait_ms=1800 HTTP/1.1");
     CHECK(fixture.replica().lastChange().revision == 9);
 }
 
@@ -103,16 +103,16 @@
     ReplicaFixture fixture;
     fixture.awaitRequest();
     fixture.respond(200, listPage(objectJson("a", 1), 5));
-    CHECK(fixture.awaitRequest().find("watch=5&wait_ms=10000 ") != std::string::npos);
+    CHECK(fixture.awaitRequest().find("watch=5&wait_ms=1800 ") != std::string::npos);
     for (const int change : { 6, 7 }) {
         fixture.respond(200, changeEvent(objectJson("a", change), false, change));
-        for (const char *wait : { "1000", "2000", "4000", "8000", "10000" }) {
+        for (const char *wait : { "900", "1800" }) {
             CHECK(fixture.awaitRequest().find("&wait_ms=" + std::string(wait) + " ")
                   != std::string::npos);
             fixture.respond(200,
                             R"({"events":[],"store_revision":)" + std::to_string(change) + "}");
         }
-        CHECK(fixture.awaitRequest().find("&wait_ms=10000 ") != std::string::npos);
+        CHECK(fixture.awaitRequest().find("&wait_ms=1800 ") != std::string::npos);
     }
 }
 
