Treat a status outside 100 to 599 as no response

Cause: http_parser reads the status as a number up to 999. It neither counts the digits nor checks the range, and accepts spaces before them, so that "20", "0200" and "600" were statuses like any other.

The parser now checks the bytes of the status line before http_parser gets them: three digits from 100 to 599, then a space or the end of the line. A response that fails is no answer, counted and logged as `invalid-status`. The connection is closed, the request may have run, and it is retried where that is allowed, else answered 502. Responses of targets, other VMs and the store, to HEAD, of hedges and on kept connections all pass this parser; probes read nothing. 2000, +200 and -01 were `malformed` and have the new name too.

It works because the check runs before any callback of the parser, at the first byte that cannot be right, and takes the path of other invalid responses.

--- a/src/edge/HttpClientConnection.cpp
+++ b/src/edge/HttpClientConnection.cpp
@@ -25,10 +25,10 @@
 
 std::string_view exchangeFailureName(ExchangeFailure failure)
 {
-    static constexpr std::array<std::string_view, exchangeFailureCount> names = {
-        "not-connected",      "lost",          "malformed", "head-too-large", "framing-too-large",
-        "discarded-too-much", "body-too-large"
-    };
+    static constexpr std::array<std::string_view, exchangeFailureCount> names
+            = { "not-connected",      "lost",           "malformed",
+                "invalid-status",     "head-too-large", "framing-too-large",
+                "discarded-too-much", "body-too-large" };
     return names.at(static_cast<std::size_t>(failure));
 }
 
@@ -142,6 +142,8 @@
     switch (m_parser.parseError()) {
     case HttpParser::ParseError::Malformed:
         return ExchangeFailure::Malformed;
+    case HttpParser::ParseError::InvalidStatus:
+        return ExchangeFailure::InvalidStatus;
     case HttpParser::ParseError::HeadTooLarge:
         return ExchangeFailure::HeadTooLarge;
     case HttpParser::ParseError::FramingTooLarge:
--- a/src/edge/HttpParser.cpp
+++ b/src/edge/HttpParser.cpp
@@ -33,6 +33,26 @@
                        [](char c) { return c == '\r' || c == '\n' || c == '\0'; });
 }
 
+// The status line up to its status, and up to the byte that follows the status.
+constexpr std::size_t versionBytes = std::string_view("HTTP/1.1 ").size();
+constexpr std::size_t maxStatusLineBytes = versionBytes + std::string_view("200 ").size();
+
+bool isDigit(char c)
+{
+    return c >= '0' && c <= '9';
+}
+
+// Whether a text is, or may become, a valid status and the byte that follows it.
+bool isStatus(std::string_view text)
+{
+    constexpr std::string_view first = "12345";
+    constexpr std::string_view ends = " \r\n";
+    constexpr std::size_t digits = 3;
+    return (text.empty() || first.find(text.front()) != std::string_view::npos)
+           && std::all_of(text.begin(), text.begin() + std::min(text.size(), digits), isDigit)
+           && (text.size() <= digits || ends.find(text[digits]) != std::string_view::npos);
+}
+
 // http_parser has one global limit on the head size; this class enforces its own limit per message.
 constexpr std::uint32_t libraryMaxHeadBytes = 1U << 30;
 
@@ -88,6 +108,7 @@
     Callbacks callbacks;
 
     MessageHead head;
+    std::string statusLine; // its first bytes
     std::string name;
     std::string value;
     bool isReadingValue = false;
@@ -113,6 +134,8 @@
     static State &of(http_parser *parser) { return *static_cast<State *>(parser->data); }
 
     int finishHead();
+    // Whether the status is invalid as of these bytes. http_parser accepts any number up to 999.
+    bool hasInvalidStatus(std::string_view bytes);
     // Returns an error if the head has too many fields, or the trailer a field that is too large.
     // The sizes of the fields of a head are limited together.
     int checkField();
@@ -143,6 +166,22 @@
            || head.fields.count("content-length") > 0;
 }
 
+bool HttpParser::State::hasInvalidStatus(std::string_view bytes)
+{
+    for (const char c : bytes) {
+        if (statusLine.size() == maxStatusLineBytes)
+            return false;
+        const bool isEmptyLine = statusLine.empty() && (c == '\r' || c == '\n');
+        if (!isEmptyLine)
+            statusLine += c;
+        // http_parser rejects any other version.
+        const bool hasVersion = statusLine.size() > versionBytes && statusLine.starts_with("HTTP/");
+        if (hasVersion && !isStatus(std::string_view(statusLine).substr(versionBytes)))
+            return true;
+    }
+    return false;
+}
+
 int HttpParser::State::checkField()
 {
     const bool isValid = inTrailer ? name.size() + value.size() <= maxHeadBytes
@@ -245,6 +284,7 @@
                      state.type == MessageType::Request ? HTTP_REQUEST : HTTP_RESPONSE);
     state.parser.data = &state;
     state.head = {};
+    state.statusLine.clear();
     state.name.clear();
     state.value.clear();
     state.isReadingValue = state.hasStarted = state.headComplete = state.complete = state.inTrailer
@@ -264,6 +304,10 @@
     State &state = *m_state;
     if (state.complete || state.parseError != ParseError::None || bytes.empty())
         return 0;
+    if (state.type == MessageType::Response && state.hasInvalidStatus(bytes)) {
+        state.parseError = ParseError::InvalidStatus;
+        return 0;
+    }
     const bool wasInHead = !state.headComplete;
     const std::size_t consumed
             = http_parser_execute(&state.parser, &state.settings, bytes.data(), bytes.size());
--- a/src/edge/HttpParser.h
+++ b/src/edge/HttpParser.h
@@ -53,12 +53,12 @@
 };
 
 // An incremental HTTP/1.1 parser based on http_parser. Parses one message at a time, and holds at
-// most its head.
+// most its head. The status of a response must be three digits from 100 to 599.
 class HttpParser
 {
 public:
     enum class MessageType { Request, Response };
-    enum class ParseError { None, Malformed, HeadTooLarge, FramingTooLarge };
+    enum class ParseError { None, Malformed, InvalidStatus, HeadTooLarge, FramingTooLarge };
 
     // Maximum number of fields of a head. A field takes far more memory than the few bytes that it
     // may have in the message.
--- a/tests/EdgeHedgeTest.cpp
+++ b/tests/EdgeHedgeTest.cpp
@@ -130,7 +130,8 @@
 // Guards against a hedge whose failure the caller notices although the first attempt is sound.
 TEST_CASE("a second attempt that fails ends silently")
 {
-    for (const std::string &failure : { std::string(), rejection, answer("x", {}, 500) }) {
+    for (const std::string &failure :
+         { std::string(), rejection, answer("x", {}, 500), answer("x", {}, 99) }) {
         HedgeFixture fixture;
         HedgedRequest request(fixture);
         request.second->send(failure);
@@ -143,7 +144,7 @@
 
 TEST_CASE("when the first attempt fails, the second one goes on alone")
 {
-    for (const std::string &failure : { std::string(), rejection }) {
+    for (const std::string &failure : { std::string(), rejection, answer("x", {}, 99) }) {
         HedgeFixture fixture;
         HedgedRequest request(fixture);
         request.first->send(failure);
--- a/tests/HttpParserTest.cpp
+++ b/tests/HttpParserTest.cpp
@@ -108,6 +108,47 @@
     CHECK(parser.parseError() == HttpParser::ParseError::None);
 }
 
+TEST_CASE("a status that is not three digits from 100 to 599 is parsed as a number")
+{
+    struct StatusLine
+    {
+        std::string text;
+        int status; // 0 if it is invalid
+    };
+    for (const StatusLine &line : {
+                 StatusLine{ "HTTP/1.1 000 X", 0 },
+                 StatusLine{ "HTTP/1.1 099 X", 0 },
+                 StatusLine{ "HTTP/1.1 600", 0 },
+                 StatusLine{ "HTTP/1.1 999 ", 0 },
+                 StatusLine{ "HTTP/1.1 20 OK", 0 },
+                 StatusLine{ "HTTP/1.1 20", 0 },
+                 StatusLine{ "HTTP/1.1 2000 OK", 0 },
+                 StatusLine{ "HTTP/1.1 0200 OK", 0 },
+                 StatusLine{ "HTTP/1.1  200 OK", 0 },
+                 StatusLine{ "HTTP/1.1 +200 OK", 0 },
+                 StatusLine{ "HTTP/1.1 ", 0 },
+                 StatusLine{ "HTTP/1.10 200", 0 },
+                 StatusLine{ "HTTP/1.1 100", 100 },
+                 StatusLine{ "HTTP/1.1 200", 200 },
+                 StatusLine{ "HTTP/1.0 200 ", 200 },
+                 StatusLine{ "\r\nHTTP/1.1 599 X", 599 },
+         }) {
+        CAPTURE(line.text);
+        const std::string message = line.text + "\r\nContent-Length: 0\r\n\r\n";
+        for (const std::size_t partBytes : { message.size(), std::size_t(1) }) {
+            int status = 0;
+            HttpParser parser(HttpParser::MessageType::Response, maxHeadBytes,
+                              { [&](const MessageHead &head) { status = head.status; },
+                                [](std::string_view) {}, [] {} });
+            for (std::size_t i = 0; i < message.size(); i += partBytes)
+                parser.feed(message.substr(i, partBytes));
+            CHECK(status == line.status);
+            CHECK(parser.isComplete() == (line.status != 0));
+            CHECK((parser.parseError() == HttpParser::ParseError::None) == parser.isComplete());
+        }
+    }
+}
+
 TEST_SUITE_END();
 
 } // namespace basildeck
--- a/tests/ScriptedStore.h
+++ b/tests/ScriptedStore.h
@@ -52,6 +52,7 @@
                        + (era.empty() ? era : "Store-Era: " + era + "\r\n") + "\r\n" + body);
     }
 
+    void send(std::string_view bytes) { m_socket->send(bytes); }
     void closeConnection() { m_socket.reset(); }
 
     void runLoopOnce()
