Treat a status 101 of a target as no response

With one target of ten that answered 101, 74 requests of 1,469 were answered 503 and 8 were answered 504, and the other targets served less than half as much: requests waited for a final head until their timeout.

Cause: 101 was skipped like the interim responses. It is a final answer to an upgrade, which no request asks for.

101 is an invalid status now. The attempt ends with the third digit. Other 1xx are skipped within their limits, as before.

With this check taken out, HEAD was not counted as an invalid status, the same behind a peer, a scripted peer's request was answered 504 instead of 502, the retry of a repeatable request was not counted, the store's client waited for its timeout of 2 s, and 4 checks of the table in the parser failed.

--- a/src/edge/HttpClientConnection.h
+++ b/src/edge/HttpClientConnection.h
@@ -17,7 +17,7 @@
     // The request may have been executed in all other cases.
     Lost,             // the connection closed
     Malformed,        // the response is not valid HTTP
-    InvalidStatus,    // the status is not one from 100 to 599
+    InvalidStatus,    // the status is not one from 100 to 599, or is 101
     HeadTooLarge,     // the head of the response exceeds its limits
     FramingTooLarge,  // chunk extensions or trailer exceed their limits
     DiscardedTooMuch, // too many interim responses, or responses to other requests
--- a/src/edge/HttpParser.cpp
+++ b/src/edge/HttpParser.cpp
@@ -50,7 +50,8 @@
     constexpr std::size_t digits = 3;
     return (text.empty() || first.find(text.front()) != std::string_view::npos)
            && std::all_of(text.begin(), text.begin() + std::min(text.size(), digits), isDigit)
-           && (text.size() <= digits || ends.find(text[digits]) != std::string_view::npos);
+           && (text.size() <= digits || ends.find(text[digits]) != std::string_view::npos)
+           && !text.starts_with("101");
 }
 
 // http_parser has one global limit on the head size; this class enforces its own limit per message.
--- a/src/edge/HttpParser.h
+++ b/src/edge/HttpParser.h
@@ -53,7 +53,8 @@
 };
 
 // An incremental HTTP/1.1 parser based on http_parser. Parses one message at a time, and holds at
-// most its head. The status of a response must be three digits from 100 to 599.
+// most its head. The status of a response must be three digits from 100 to 599, and not 101, which
+// answers an upgrade that is never requested.
 class HttpParser
 {
 public:
--- a/tests/HttpParserTest.cpp
+++ b/tests/HttpParserTest.cpp
@@ -128,6 +128,7 @@
                  StatusLine{ "HTTP/1.1 +200 OK", 0 },
                  StatusLine{ "HTTP/1.1 ", 0 },
                  StatusLine{ "HTTP/1.10 200", 0 },
+                 StatusLine{ "HTTP/1.1 101 X", 0 },
                  StatusLine{ "HTTP/1.1 100", 100 },
                  StatusLine{ "HTTP/1.1 200", 200 },
                  StatusLine{ "HTTP/1.0 200 ", 200 },
--- a/tests/InvalidStatusTest.cpp
+++ b/tests/InvalidStatusTest.cpp
@@ -15,7 +15,7 @@
 namespace {
 
 const std::vector<std::string> invalidStatuses
-        = { "000", "099", "20", "600", "2000", "0200", "+200", "-01", " 200", "20x" };
+        = { "000", "099", "20", "600", "101", "2000", "0200", "+200", "-01", " 200", "20x" };
 
 // A response that is right but for its status line.
 std::string response(const std::string &status, const std::string &fields = {})
@@ -124,7 +124,7 @@
 
 TEST_CASE("an invalid status reaches the caller of HEAD, or of a request taken by a peer")
 {
-    for (const std::string status : { "000", "099", "600" }) {
+    for (const std::string status : { "000", "099", "600", "101" }) {
         checkRefusedForHead(status);
         checkRefusedBehindPeer(status);
     }
@@ -132,7 +132,7 @@
 
 TEST_CASE("an invalid status is not retried at another target")
 {
-    for (const std::string status : { "000", "600", "2000" }) {
+    for (const std::string status : { "000", "600", "101", "2000" }) {
         CAPTURE(status);
         EdgeFixture fixture(2);
         const std::size_t first = fixture.targetOf("/safe/", "3");
