Treat an invalid status of an upstream as no response at entry

The client of `entry` reported statuses 000, 099, 20, 101, 600 and 2000 as they were, and 0200, +200 and 20x as 200, 200 and 20; the pipeline sends what it reports to the caller.

Cause: libwebsockets reads the status with atoi() and accepts any text.

The text of the status must now be three digits from 200 to 599. Interim responses are refused as well, since libwebsockets does not skip them. The attempt ends as an invalid response: it is repeated where that is allowed, else answered 502, and does not count as a crash of its upstream. The clients of the store and of the admin command have the same check.

It works because the check precedes the report of the head.

--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -227,6 +227,8 @@
 
 int HttpClient::onHead(lws *connection, PendingRequest &pending)
 {
+    if (!lws_util::hasFinalStatus(connection))
+        return -1;
     pending.headReceived = true;
     pending.response.status = static_cast<int>(lws_http_client_http_response(connection));
     if (const auto length = lws_util::tokenHeader(connection, WSI_TOKEN_HTTP_CONTENT_LENGTH))
--- a/src/http/LwsUtil.cpp
+++ b/src/http/LwsUtil.cpp
@@ -122,6 +122,17 @@
     return value;
 }
 
+bool hasFinalStatus(lws *connection)
+{
+    const auto http11 = tokenHeader(connection, WSI_TOKEN_HTTP);
+    const std::string text
+            = http11 ? *http11 : tokenHeader(connection, WSI_TOKEN_HTTP1_0).value_or("");
+    const std::string status = text.substr(0, text.find(' '));
+    constexpr std::size_t digits = 3;
+    return status.size() == digits && status.front() >= '2' && status.front() <= '5'
+           && status.find_first_not_of("0123456789") == std::string::npos;
+}
+
 std::string clientIp(lws *connection)
 {
     std::array<char, 64> ip{};
--- a/src/http/LwsUtil.h
+++ b/src/http/LwsUtil.h
@@ -28,6 +28,10 @@
 // Returns the value of a header without a token, by its lower-case name.
 std::optional<std::string> namedHeader(lws *connection, std::string_view name);
 
+// Whether the status of a response is three digits from 200 to 599. libwebsockets accepts any text,
+// and takes interim responses for answers.
+bool hasFinalStatus(lws *connection);
+
 // Returns the numeric address of the client.
 std::string clientIp(lws *connection);
 
--- a/src/http/RequestPipeline.cpp
+++ b/src/http/RequestPipeline.cpp
@@ -594,6 +594,10 @@
         endAttempt(*exchange, RunOutcome::ConnectFailed, now);
         retryOrRefuse(*exchange, RetryReason::ConnectFailed, ErrorKind::ConnectFailed, now);
         break;
+    case AttemptResult::InvalidResponse:
+        endAttempt(*exchange, RunOutcome::Lost, now);
+        retryOrRefuse(*exchange, RetryReason::LostIdempotent, ErrorKind::AnswerInvalid, now);
+        break;
     case AttemptResult::ConnectionLost:
         endAttempt(*exchange, RunOutcome::Lost, now);
         reportCrash(*exchange, now);
--- a/src/http/UpstreamClient.cpp
+++ b/src/http/UpstreamClient.cpp
@@ -232,6 +232,11 @@
 
 int UpstreamClient::onHead(lws *connection, Attempt &attempt)
 {
+    if (!lws_util::hasFinalStatus(connection)) {
+        lws_set_opaque_user_data(connection, nullptr);
+        finish(attempt.id, AttemptResult::InvalidResponse);
+        return -1;
+    }
     UpstreamResponseHead head;
     head.status = static_cast<int>(lws_http_client_http_response(connection));
     head.headers = readResponseHeaders(connection);
--- a/src/http/UpstreamClient.h
+++ b/src/http/UpstreamClient.h
@@ -44,9 +44,10 @@
 
 // The result of an attempt.
 enum class AttemptResult {
-    Complete,       // the complete response was received
-    ConnectFailed,  // no byte of the request was sent
-    ConnectionLost, // the connection was closed before the response was complete
+    Complete,        // the complete response was received
+    ConnectFailed,   // no byte of the request was sent
+    InvalidResponse, // the status is invalid; the connection was closed
+    ConnectionLost,  // the connection was closed before the response was complete
 };
 
 // An HTTP client that streams requests to upstreams. Each attempt sends one request on a connection
