Check probes of the soak by the acknowledgement before them

Cause: after a restore the operator writes every version again, and its acknowledgement was set to that moment.

A probe records the acknowledgement that was valid when it was sent.

--- a/tools/soak/Soak.cpp
+++ b/tools/soak/Soak.cpp
@@ -62,8 +62,8 @@
         m_loop.run();
         cancelCalls();
         const std::vector<std::string> violations = checkInvariants(
-                { *m_callers, *m_longCallers, *m_probes, *m_operator, *m_targets, *m_vms,
-                  *m_partitions, *m_storeFaults, m_steadyPhaseStart, m_steadyPhaseEnd });
+                { *m_callers, *m_longCallers, *m_probes, *m_targets, *m_vms, *m_partitions,
+                  *m_storeFaults, m_steadyPhaseStart, m_steadyPhaseEnd });
         m_violations.insert(m_violations.end(), violations.begin(), violations.end());
         std::ostringstream summary;
         summary << m_callers->requests().size() << " requests and "
--- a/tools/soak/SoakChecks.cpp
+++ b/tools/soak/SoakChecks.cpp
@@ -246,8 +246,7 @@
                     break;
                 }
             }
-            const Duration age
-                    = probe.sentAt - m_records.fleetOperator.acknowledgements().at(probe.version);
+            const Duration age = probe.sentAt - probe.acknowledgedAt;
             if (age > configBound && isInTouch(probe.vm, probe.sentAt))
                 m_violations.push_back(describeProbe(id, probe) + " "
                                        + std::to_string(toSeconds(age))
--- a/tools/soak/SoakChecks.h
+++ b/tools/soak/SoakChecks.h
@@ -18,7 +18,6 @@
     const SoakCallers &callers;
     const SoakLongCallers &longCallers;
     const SoakProbes &probes;
-    const SoakOperator &fleetOperator;
     const SoakTargets &targets;
     const SoakVms &vms;
     const SoakPartitions &partitions;
--- a/tools/soak/SoakProbes.cpp
+++ b/tools/soak/SoakProbes.cpp
@@ -39,7 +39,8 @@
     if (!connection)
         return;
     const std::string id = "probe-" + std::to_string(m_nextNumber++);
-    m_probes[id] = { vm, m_vms.currentProcess(vm), version, m_loop.now() };
+    m_probes[id] = { vm, m_vms.currentProcess(vm), version,
+                     m_operator.acknowledgements().at(version), m_loop.now() };
     HttpClientConnection &raw = *connection;
     m_connections[id] = std::move(connection);
     raw.begin({ "GET " + SoakOperator::versionPrefix(version)
--- a/tools/soak/SoakProbes.h
+++ b/tools/soak/SoakProbes.h
@@ -16,6 +16,7 @@
     std::size_t vm = 0;
     std::size_t process = 0;
     int version = 0;
+    Time acknowledgedAt; // of the version, last before the probe was sent
     Time sentAt;
     Time answeredAt;
     int status = 0; // of the complete response, 0 if there was none
