Lose the watches of all VMs in the soak, in fleets of a given size

Cause: the soak lost watches only in silences that followed a change, and so missed that a watch that is lost long after the last change is found when its wait of 5 to 10 s ends. Its targets changed their entries with each check-in, which ends the watches of their kind every second.

After the recovery check-ins pause, the store cuts off all watches, so that all VMs send them again together, and 0.4 to 2.5 s later loses those of all kinds, the next time only those of the configuration. The configuration changes right after, and a target leaves that says so only in its entry. Probes and requests to that target may be late until 4 s after the loss.

--- a/tools/soak/Soak.cpp
+++ b/tools/soak/Soak.cpp
@@ -11,7 +11,6 @@
 
 namespace {
 
-constexpr std::size_t vmCount = 5;
 constexpr std::size_t targetCount = 8;
 constexpr double requestsPerSecond = 150;
 constexpr Duration warmUp = seconds(3);
@@ -21,6 +20,8 @@
 constexpr Duration settlingTime = seconds(4);
 constexpr Duration drillChangeInterval = seconds(2);
 constexpr int silentStoreDrillCount = 2;
+// The third byte of the targets' addresses, as long as those of SoakPartitions.
+constexpr int targetByte = 100;
 constexpr Duration recoveryBound = seconds(15);
 constexpr Duration steadyPhase = seconds(3);
 constexpr Duration maxSecondSigtermDelay = seconds(3);
@@ -74,10 +75,21 @@
                 << " violations, " << m_targets->endlessResponseCount()
                 << " endless responses, peak memory " << m_vms->peakMemoryBytes() / 1024 / 1024
                 << " MiB";
+        for (const UnwatchedChange &change : m_storeFaults->unwatchedChanges())
+            summary << ", " << toSeconds(knownByAllAt(change.version) - change.time)
+                    << " s until all VMs knew a change after " << change.fault;
         return { summary.str(), m_violations };
     }
 
 private:
+    Time knownByAllAt(int version) const
+    {
+        Time last{};
+        for (std::size_t vm = 0; vm < m_vms->count(); ++vm)
+            last = std::max(last, m_probes->shownAt(vm, version));
+        return last;
+    }
+
     std::size_t randomIndex(std::size_t count)
     {
         return std::uniform_int_distribution<std::size_t>(0, count - 1)(m_random);
@@ -103,7 +115,7 @@
         m_operator->updateConfig();
         m_targets = std::make_unique<SoakTargets>(m_loop, *m_store, m_trafficRandom);
         m_partitions = std::make_unique<SoakPartitions>(
-                m_loop, vmCount, m_subnet, m_options.seed,
+                m_loop, m_options.vmCount, m_subnet, m_options.seed,
                 [this](const std::string &event) { logEvent(event); });
         for (std::size_t i = 0; i < targetCount; ++i) {
             if (!addTarget("svc"))
@@ -117,10 +129,10 @@
                 m_loop, *m_store, *m_operator, *m_targets, m_random,
                 [this](const std::string &event) { logEvent(event); });
         m_vms = std::make_unique<SoakVms>(m_loop, m_options.program, m_options.folder, m_subnet);
-        for (std::size_t i = 0; i < vmCount; ++i) {
+        for (std::size_t i = 0; i < m_options.vmCount; ++i) {
             const bool isNorth = i % 2 == 0;
             const Address view{ loopbackIp(2, 2 + i), storeAddress.port };
-            if (!m_store->addView(view, loopbackPrefix(4), m_partitions->targetPrefix(i))
+            if (!m_store->addView(view, loopbackPrefix(targetByte), m_partitions->targetPrefix(i))
                 || !m_vms->add(isNorth ? "north-a" : "south-a", isNorth ? "north" : "south", view))
                 return false;
         }
@@ -134,7 +146,7 @@
     bool addTarget(const std::string &service)
     {
         const std::size_t number = ++m_lastTargetNumber;
-        const Address proxy{ loopbackIp(4, number), SoakTargets::port };
+        const Address proxy{ loopbackIp(targetByte, number), SoakTargets::port };
         return m_partitions->addTarget(std::to_string(number), proxy)
                && m_targets->add("i-" + std::to_string(number), service,
                                  number % 2 == 0 ? "north-a" : "south-a",
@@ -184,7 +196,7 @@
 
     void injectVmFault(Duration duration)
     {
-        const std::size_t vm = randomIndex(vmCount);
+        const std::size_t vm = randomIndex(m_options.vmCount);
         const std::size_t kind = randomIndex(4);
         const std::string name = "vm-" + std::to_string(vm + 1);
         if (kind == 0) {
@@ -224,13 +236,13 @@
     // Stops some VMs one after another while the earlier ones are still shutting down.
     void injectRollingStop()
     {
-        const std::size_t first = randomIndex(vmCount);
+        const std::size_t first = randomIndex(m_options.vmCount);
         const std::size_t size = 2 + randomIndex(maxRollingStopSize - 1);
         const Duration interval = randomDuration(maxRollingStopInterval);
         logEvent("rolling stop of " + std::to_string(size) + " VMs");
         for (std::size_t i = 0; i < size; ++i)
             callLater(m_loop, static_cast<int>(i) * interval,
-                      [this, vm = (first + i) % vmCount] { terminate(vm); });
+                      [this, vm = (first + i) % m_options.vmCount] { terminate(vm); });
     }
 
     void handleVmStart(std::size_t vm)
@@ -268,7 +280,7 @@
         static constexpr std::array<ProxyMode, 5> modes
                 = { ProxyMode::Delay, ProxyMode::DropToServer, ProxyMode::DropAll,
                     ProxyMode::ResetOnce, ProxyMode::Refuse };
-        const std::size_t vm = randomIndex(vmCount);
+        const std::size_t vm = randomIndex(m_options.vmCount);
         const std::size_t mode = randomIndex(modes.size());
         logEvent("store link of vm-" + std::to_string(vm + 1) + " fault " + std::to_string(mode));
         m_vms->setStoreLinkMode(vm, modes.at(mode));
@@ -330,7 +342,7 @@
 
     void clearFaults()
     {
-        for (std::size_t vm = 0; vm < vmCount; ++vm) {
+        for (std::size_t vm = 0; vm < m_options.vmCount; ++vm) {
             m_vms->signal(vm, SIGCONT);
             m_vms->setStoreLinkMode(vm, ProxyMode::Forward);
         }
@@ -343,8 +355,20 @@
         callLater(m_loop, recoveryBound, [this] { m_steadyPhaseStart = m_loop.now(); });
         callLater(m_loop, recoveryBound + steadyPhase, [this] {
             m_steadyPhaseEnd = m_loop.now();
-            callLater(m_loop, m_partitions->drill() + settlingTime,
-                      [this] { drillSilentStore(silentStoreDrillCount); });
+            m_targets->setCheckingIn(false);
+            callLater(m_loop, m_partitions->drill() + settlingTime, [this] { drillLostWatches(); });
+        });
+    }
+
+    // Losses of watches some seconds after the last change, so that they may wait for long: those
+    // of all kinds, then only those of the configuration.
+    void drillLostWatches()
+    {
+        callLater(m_loop, m_storeFaults->loseWatches({}) + settlingTime, [this] {
+            callLater(m_loop, m_storeFaults->loseWatches("config"), [this] {
+                m_targets->setCheckingIn(true);
+                drillSilentStore(silentStoreDrillCount);
+            });
         });
     }
 
@@ -366,7 +390,7 @@
         // The callers of long runs go on, so that each VM's last shutdown is checked without
         // faults.
         m_vms->terminateAll();
-        for (std::size_t vm = 0; vm < vmCount; ++vm)
+        for (std::size_t vm = 0; vm < m_options.vmCount; ++vm)
             m_longCallers->visitLeavingVm(vm);
         waitForExit(m_loop.now() + SoakVms::shutdownGrace + seconds(3));
     }
--- a/tools/soak/Soak.h
+++ b/tools/soak/Soak.h
@@ -14,6 +14,7 @@
     std::string folder;  // for the settings and logs of the processes
     std::uint64_t seed = 1;
     Duration faultDuration = seconds(10);
+    std::size_t vmCount = 5;
 };
 
 struct SoakReport
--- a/tools/soak/SoakChecks.cpp
+++ b/tools/soak/SoakChecks.cpp
@@ -59,7 +59,7 @@
         checkDraining();
         checkShutdown();
         checkConfig();
-        checkSilences();
+        checkUnwatchedChanges();
         checkRefusals();
         checkRecovery();
         checkPartitions();
@@ -254,22 +254,20 @@
         }
     }
 
-    // After a silence of the store, all VMs know the next configuration within a bound.
-    void checkSilences()
+    // All VMs know a configuration within a bound though the watches for it were lost.
+    void checkUnwatchedChanges()
     {
-        for (const StoreSilence &silence : m_records.storeFaults.silences()) {
-            std::vector<bool> knows(m_records.vms.count());
-            for (const auto &[id, probe] : m_records.probes.probes()) {
-                if (probe.status == 200 && probe.version >= silence.nextVersion
-                    && probe.answeredAt <= silence.until + StoreSilence::changeBound)
-                    knows[probe.vm] = true;
-            }
-            for (std::size_t vm = 0; vm < knows.size(); ++vm) {
-                if (!knows[vm])
-                    m_violations.push_back("vm-" + std::to_string(vm + 1) + " did not know version "
-                                           + std::to_string(silence.nextVersion) + " "
-                                           + std::to_string(toSeconds(StoreSilence::changeBound))
-                                           + " s after the store was silent");
+        for (const UnwatchedChange &change : m_records.storeFaults.unwatchedChanges()) {
+            for (std::size_t vm = 0; vm < m_records.vms.count(); ++vm) {
+                const Time shownAt = m_records.probes.shownAt(vm, change.version);
+                if (shownAt <= change.time + change.bound)
+                    continue;
+                std::ostringstream text;
+                text << "vm-" << vm + 1 << " did not know version " << change.version << " "
+                     << toSeconds(change.bound) << " s after " << change.fault;
+                if (shownAt != Time::max())
+                    text << ", but after " << toSeconds(shownAt - change.time) << " s";
+                m_violations.push_back(text.str());
             }
         }
     }
--- a/tools/soak/SoakPartitions.cpp
+++ b/tools/soak/SoakPartitions.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr std::uint64_t seedOffset = 2000003;
-constexpr std::size_t firstLinkByte = 5; // the third byte of the first VM's link addresses
+constexpr std::size_t firstLinkByte = 101; // the third byte of the first VM's link addresses
 constexpr Duration meanFaultInterval = milliseconds(2500);
 constexpr Duration shortCut = seconds(1);
 constexpr Duration maxCut = seconds(3);
--- a/tools/soak/SoakProbes.cpp
+++ b/tools/soak/SoakProbes.cpp
@@ -6,7 +6,6 @@
 
 namespace {
 
-constexpr Duration probeInterval = milliseconds(250);
 constexpr Duration probeTimeout = milliseconds(2500);
 
 } // namespace
@@ -20,7 +19,17 @@
 
 void SoakProbes::start()
 {
-    m_timer.startRepeating(probeInterval);
+    m_timer.startRepeating(interval);
+}
+
+Time SoakProbes::shownAt(std::size_t vm, int version) const
+{
+    Time first = Time::max();
+    for (const auto &[id, probe] : m_probes) {
+        if (probe.vm == vm && probe.status == 200 && probe.version >= version)
+            first = std::min(first, probe.answeredAt);
+    }
+    return first;
 }
 
 void SoakProbes::probeAll()
--- a/tools/soak/SoakProbes.h
+++ b/tools/soak/SoakProbes.h
@@ -27,11 +27,16 @@
 class SoakProbes
 {
 public:
+    // How often each VM is asked.
+    static constexpr Duration interval = milliseconds(250);
+
     SoakProbes(EventLoop &loop, SoakVms &vms, const SoakOperator &fleetOperator);
 
     void start();
     void stop() { m_timer.stop(); }
     const std::map<std::string, ProbeRecord> &probes() const { return m_probes; }
+    // When a VM first showed the effect of a version or a newer one; Time::max() if it did not.
+    Time shownAt(std::size_t vm, int version) const;
 
 private:
     void probeAll();
--- a/tools/soak/SoakStore.cpp
+++ b/tools/soak/SoakStore.cpp
@@ -202,6 +202,12 @@
         watch.sink.abort(true);
 }
 
+void SoakStore::loseWatches(const std::string &kind)
+{
+    std::erase_if(m_watches,
+                  [&](const Watch &watch) { return kind.empty() || watch.kind == kind; });
+}
+
 void SoakStore::keepCopy()
 {
     m_copies.push_back({ m_loop.now(), m_revision, m_objects });
--- a/tools/soak/SoakStore.h
+++ b/tools/soak/SoakStore.h
@@ -39,8 +39,8 @@
     void compactHistory();
     // Aborts the connections of open watches.
     void cutWatches();
-    // Leaves the open watches unanswered, on connections that stay open.
-    void loseWatches() { m_watches.clear(); }
+    // Leaves the open watches unanswered, on connections that stay open: those of one kind, or all.
+    void loseWatches(const std::string &kind = {});
     // Goes back to the objects and the revision of an earlier time, and begins a new era. Revisions
     // given out since are given out again; watches from a revision above the store's receive 410.
     void restore(Time time);
--- a/tools/soak/SoakStoreFaults.cpp
+++ b/tools/soak/SoakStoreFaults.cpp
@@ -1,5 +1,7 @@
 #include "soak/SoakStoreFaults.h"
 
+#include "soak/SoakProbes.h"
+
 #include <array>
 #include <sstream>
 
@@ -18,6 +20,14 @@
 constexpr Duration minSilence = milliseconds(300);
 constexpr Duration maxSilence = milliseconds(6000);
 constexpr Duration changeInterval = seconds(2);
+constexpr Duration minLossDelay = milliseconds(400);
+constexpr Duration maxLossDelay = milliseconds(2500);
+// The time after the end of a silence within which VMs have to know the next configuration.
+constexpr Duration silenceBound = milliseconds(6500);
+// The platform's stable_window: VMs are in touch again that long after their watches were lost.
+constexpr Duration stableWindow = seconds(4);
+// A probe shows within a period, and is answered within another, that a configuration is in force.
+constexpr Duration lostWatchBound = stableWindow + 2 * SoakProbes::interval;
 
 } // namespace
 
@@ -96,10 +106,30 @@
     callLater(m_loop, delay + silence, [this] {
         clear();
         m_operator.updateConfig();
-        m_silences.push_back({ m_loop.now(), m_operator.version() });
+        m_unwatchedChanges.push_back(
+                { m_loop.now(), m_operator.version(), silenceBound, "the store was silent" });
     });
     callLater(m_loop, delay + silence + changeInterval, [this] { m_operator.updateConfig(); });
-    return delay + silence + StoreSilence::changeBound;
+    return delay + silence + silenceBound;
+}
+
+Duration SoakStoreFaults::loseWatches(const std::string &kind)
+{
+    const Duration delay = randomDuration(minLossDelay, maxLossDelay);
+    std::ostringstream event;
+    event << "store cuts off watches, and " << toSeconds(delay) << " s later loses those of "
+          << (kind.empty() ? "all kinds" : kind);
+    m_logEvent(event.str());
+    m_disturbances.push_back({ m_loop.now(), m_loop.now() + delay });
+    m_store.cutWatches();
+    callLater(m_loop, delay, [this, kind] {
+        m_store.loseWatches(kind);
+        m_operator.updateConfig();
+        m_targets.drainQuietly();
+        m_unwatchedChanges.push_back({ m_loop.now(), m_operator.version(), lostWatchBound,
+                                       "the store had lost watches" });
+    });
+    return delay + lostWatchBound;
 }
 
 } // namespace basildeck::soak
--- a/tools/soak/SoakStoreFaults.h
+++ b/tools/soak/SoakStoreFaults.h
@@ -18,14 +18,14 @@
     Time until;
 };
 
-// A silence of the store right after a change of the configuration.
-struct StoreSilence
+// A configuration that was acknowledged right after the store had lost the watches that would have
+// told of it.
+struct UnwatchedChange
 {
-    // The time after its end within which VMs have to know the next configuration.
-    static constexpr Duration changeBound = milliseconds(6500);
-
-    Time until;
-    int nextVersion = 0; // of the configuration that was acknowledged at the end of the silence
+    Time time;
+    int version = 0;
+    Duration bound; // within which VMs have to know it
+    std::string fault;
 };
 
 // Injects faults into the store.
@@ -46,9 +46,13 @@
     // for good. The configuration changes again at the end of the silence. Returns the time until
     // VMs have to know these changes.
     Duration fallSilentAfterChange();
+    // Cuts off all watches, so that all VMs send them again at the same time, and later leaves
+    // those of a kind, or of all kinds, unanswered for good. The configuration changes right after,
+    // and a target leaves. Returns the time until VMs have to know that.
+    Duration loseWatches(const std::string &kind);
 
     const std::vector<StoreDisturbance> &disturbances() const { return m_disturbances; }
-    const std::vector<StoreSilence> &silences() const { return m_silences; }
+    const std::vector<UnwatchedChange> &unwatchedChanges() const { return m_unwatchedChanges; }
 
 private:
     std::size_t randomIndex(std::size_t count);
@@ -61,7 +65,7 @@
     std::mt19937_64 &m_random;
     std::function<void(const std::string &)> m_logEvent;
     std::vector<StoreDisturbance> m_disturbances;
-    std::vector<StoreSilence> m_silences;
+    std::vector<UnwatchedChange> m_unwatchedChanges;
 };
 
 } // namespace basildeck::soak
--- a/tools/soak/SoakTargets.cpp
+++ b/tools/soak/SoakTargets.cpp
@@ -104,8 +104,10 @@
     Target &target = *m_targets.at(id);
     if (!target.isRegistered)
         return;
-    ++target.sequence;
-    writeRegistration(target);
+    if (m_isCheckingIn) {
+        ++target.sequence;
+        writeRegistration(target);
+    }
     callLater(m_loop, checkInInterval, [this, id] { checkIn(id); });
 }
 
@@ -159,8 +161,23 @@
     // In turn: only says so, only registers as draining, both.
     constexpr int manners = 3;
     const int manner = m_leaveCount++ % manners;
-    const bool isRegistered = manner != 0;
-    target.saysLeaving = manner != 1;
+    leave(target, manner != 0, manner != 1);
+}
+
+void SoakTargets::drainQuietly()
+{
+    for (const std::string &id : ids()) {
+        Target &target = *m_targets.at(id);
+        if (target.drainingSince || target.saysLeaving)
+            continue;
+        leave(target, true, false);
+        return;
+    }
+}
+
+void SoakTargets::leave(Target &target, bool isRegistered, bool isSaid)
+{
+    target.saysLeaving = isSaid;
     if (isRegistered) {
         target.drainingSince = m_loop.now();
         writeRegistration(target);
--- a/tools/soak/SoakTargets.h
+++ b/tools/soak/SoakTargets.h
@@ -60,6 +60,10 @@
     // Lets a target leave: it registers as draining, says so in its responses, or both. Its
     // registration is removed later.
     void drain(const std::string &id);
+    // Lets some target leave that only registers as draining.
+    void drainQuietly();
+    // Whether the entries of targets change with each check-in, or only when a target leaves.
+    void setCheckingIn(bool checkingIn) { m_isCheckingIn = checkingIn; }
     // Each target writes its entry within a period to a store that was restored from a copy, or
     // removes it again.
     void writeAgain(Duration from, Duration to);
@@ -141,6 +145,7 @@
     std::string noticeFields(Target &target, const std::string &requestId);
     void writeRegistration(Target &target);
     void checkIn(const std::string &id);
+    void leave(Target &target, bool isRegistered, bool isSaid);
 
     EventLoop &m_loop;
     MemoryBudget m_memory{ 1 << 20 }; // for request bodies
@@ -157,6 +162,7 @@
     std::vector<Notice> m_notices;
     std::map<std::string, Time> m_limitedSince;
     int m_leaveCount = 0;
+    bool m_isCheckingIn = true;
     std::size_t m_usualTargetCount = 0;
     // Last, because its servers report disconnects when they are destroyed.
     std::map<std::string, std::unique_ptr<Target>> m_targets;
--- a/tools/soak/main.cpp
+++ b/tools/soak/main.cpp
@@ -19,13 +19,15 @@
                                         commandLine);
     TCLAP::ValueArg<int> faultDuration("", "seconds", "how long faults are injected", false, 10,
                                        "SECONDS", commandLine);
+    TCLAP::ValueArg<std::size_t> vmCount("", "vms", "how many VMs there are", false, 5, "NUMBER",
+                                         commandLine);
     commandLine.parse(argumentCount, argumentValues);
     std::signal(SIGPIPE, SIG_IGN);
     FLAGS_minloglevel = google::GLOG_ERROR;
     google::InitGoogleLogging("basildeck-soak");
     const soak::SoakReport report
             = soak::runSoak({ program.getValue(), folder.getValue(), seed.getValue(),
-                              seconds(faultDuration.getValue()) });
+                              seconds(faultDuration.getValue()), vmCount.getValue() });
     std::cout << "seed " << seed.getValue() << ": " << report.summary << '\n';
     for (const std::string &violation : report.violations)
         std::cout << "  BROKEN " << violation << '\n';
