Send all objects to a follower that was ahead of a list of its relay

Callers could be sent to a target that is gone, or find a zone evacuated that was taken back: an object that the store had deleted stayed at a VM for good, until the next restart or lost history. Cause: a relay that lists again tells its followers what differs from its own replica before. A follower that had got newer changes elsewhere may have an object in a revision that the relay never knew: it ignored the deletion of the older revision, or none was sent, and took the list's version. Change: a replica keeps between which revisions its lists skipped changes, and has no changes for versions inside, so that such followers receive all objects. Others receive changes as before.

--- a/src/edge/ObjectReplica.cpp
+++ b/src/edge/ObjectReplica.cpp
@@ -258,6 +258,7 @@
         m_objects = std::move(objects);
         // Revisions of the earlier era say nothing about the changes since then.
         m_log.clear();
+        m_gaps.clear();
         m_logStart = version.revision;
         m_lastChange = { version.era, 0 };
         for (const auto &[name, object] : m_objects)
@@ -286,6 +287,12 @@
     }
     if (isFirst)
         m_logStart = m_version.revision;
+    else
+        m_gaps.push_back({ versionBefore.revision, m_version.revision });
+    if (m_gaps.size() > maxGaps) {
+        m_logStart = std::max(m_logStart, m_gaps.front().before);
+        m_gaps.pop_front();
+    }
     m_callbacks.onBatchApplied();
 }
 
@@ -303,6 +310,10 @@
 {
     if (m_logStart == 0 || version.era != m_version.era || version.revision < m_logStart)
         return std::nullopt;
+    if (std::any_of(m_gaps.begin(), m_gaps.end(), [&](const Gap &gap) {
+            return gap.after < version.revision && version.revision < gap.before;
+        }))
+        return std::nullopt;
     std::vector<ObjectChange> changes;
     for (const LoggedChange &logged : m_log) {
         if (logged.revision > version.revision)
--- a/src/edge/ObjectReplica.h
+++ b/src/edge/ObjectReplica.h
@@ -34,8 +34,8 @@
 class ObjectReplica
 {
 public:
-    // A VM that reaches the store knows each change after this time at most, also if the store lost
-    // the watch that would have reported it.
+    // With the default waits, a VM that watches the store knows each change after this time at
+    // most, also if the store lost the watch that would have reported it. A list comes on top.
     static constexpr Duration maxChangeLag = seconds(4);
     static constexpr Duration callTimeout = milliseconds(1500);
     static constexpr Duration initialBackoff = milliseconds(150);
@@ -46,6 +46,8 @@
     static constexpr Duration maxBackoff = milliseconds(1000);
     // Changes that are kept for VMs that follow this replica.
     static constexpr std::size_t maxLoggedChanges = 4096;
+    // Lists after which those changes can still be used.
+    static constexpr std::size_t maxGaps = 16;
 
     struct Callbacks
     {
@@ -108,8 +110,8 @@
     // Applies changes from another VM, which lead from this replica's version to a newer one of the
     // same era.
     void adoptChanges(const std::vector<ObjectChange> &changes, const StoreVersion &version);
-    // The changes after a version, oldest first; nothing if they are no longer known, or if the
-    // version is of another era.
+    // The changes after a version, oldest first; nothing if they are not known, or if the version
+    // is of another era.
     std::optional<std::vector<ObjectChange>> changesSince(const StoreVersion &version) const;
     bool hasChangesSince(const StoreVersion &version) const { return m_lastChange > version; }
 
@@ -146,6 +148,14 @@
         ObjectChange change;
     };
 
+    // Revisions of which a list skipped the changes. What differed between them may be an object
+    // that only replicas inside the gap have.
+    struct Gap
+    {
+        std::uint64_t after;
+        std::uint64_t before;
+    };
+
     EventLoop &m_loop;
     const ObjectProtocol &m_protocol;
     Address m_store;
@@ -158,7 +168,8 @@
     std::map<std::string, StoredObject> m_listed; // pages of the current list call
     std::string m_listContinuation;
     std::deque<LoggedChange> m_log; // oldest first
-    std::uint64_t m_logStart = 0;   // the log has all changes after this revision
+    std::uint64_t m_logStart = 0;   // the log has all changes after this revision, but for the gaps
+    std::deque<Gap> m_gaps;         // oldest first
     std::map<std::string, std::uint64_t> m_loggedUnreadable; // revision by name
     StoreVersion m_version;
     StoreVersion m_lastChange;
--- a/tests/ReplicaRelayTest.cpp
+++ b/tests/ReplicaRelayTest.cpp
@@ -112,6 +112,33 @@
 }
 
 // After a restart, a server that had left must not be in use again because a relay is behind.
+// The relay listed again after a lost change history, and knew another revision of the object, or
+// never knew it.
+TEST_CASE("a deleted object stays at a follower that was ahead of its relay")
+{
+    for (const bool isKnown : { true, false }) {
+        CAPTURE(isKnown);
+        EventLoop loop;
+        Vm source(loop);
+        Vm follower(loop);
+        std::map<std::string, StoredObject> known{ { "b", { "b", 4, 1 } } };
+        if (isKnown)
+            known["a"] = { "a", 5, 1 };
+        source.servers().adoptSnapshot(known, { 0, 10 });
+        follower.servers().adoptSnapshot({ { "a", { "a", 20, 2 } }, { "b", { "b", 4, 1 } } },
+                                         { 0, 20 });
+        source.relay.setServing(true);
+        source.servers().adoptSnapshot({ { "b", { "b", 4, 1 } } }, { 0, 30 });
+
+        Response response;
+        source.relay.handle(query(follower, milliseconds(0)), response.sink());
+        CHECK(ReplicaRelay::apply(response.body, follower.replicas));
+        CHECK(follower.servers().version().revision == 30);
+        CHECK_FALSE(follower.servers().objects().contains("a"));
+        CHECK(follower.servers().objects().contains("b"));
+    }
+}
+
 TEST_CASE("changes of a relay that is behind the follower are ignored")
 {
     EventLoop loop;
