Check that lost watches are sent again, not only that changes arrive

The gaps between the ends of waits could not exceed a second any more. Change: two tests expect the log line of a watch that is sent again. The check of the gaps, that some VM of the fleet notices a silent store, is replaced by one that each VM has a watch that ends within two seconds. Comments say what holds for lists and spreads. Still without power: "a watch that was sent again shows that the store still does not respond" passes without the renewal, before as now.

--- a/src/edge/FleetView.h
+++ b/src/edge/FleetView.h
@@ -32,7 +32,7 @@
     // How often to check whether another VM has newer objects.
     static constexpr Duration tickPeriod = milliseconds(500);
     // How long watches of a kind wait. Those of different VMs and kinds end at different times, so
-    // that some fail while the store is silent.
+    // that not all calls reach the store at once.
     struct WatchLimits
     {
         milliseconds maxWait;
--- a/tests/FleetViewTest.cpp
+++ b/tests/FleetViewTest.cpp
@@ -1,5 +1,6 @@
 #include "edge/FleetView.h"
 
+#include "LogCapture.h"
 #include "platform/PlatformFormat.h"
 #include "soak/FaultProxy.h"
 #include "soak/SoakStore.h"
@@ -195,6 +196,7 @@
 
 TEST_CASE("a watch that the store lost in an outage is sent again once another kind is answered")
 {
+    const LogCapture log;
     FleetViewFixture fixture;
     fixture.start("alpha");
     fixture.loseConfigWatch();
@@ -205,10 +207,12 @@
     fixture.store->setMode(StoreMode::Normal);
     fixture.writeConfig("gamma");
     CHECK(fixture.await([&] { return fixture.organisation == "gamma"; }));
+    CHECK_FALSE(log.line({ "sending the watch again", "kind=config" }).empty());
 }
 
 TEST_CASE("a watch that the store lost unnoticed is sent again once another VM is ahead")
 {
+    const LogCapture log;
     FleetViewFixture fixture;
     fixture.start("alpha");
     fixture.loseConfigWatch();
@@ -218,6 +222,7 @@
         fixture.hearFromPeer(fixture.store->revision());
         return fixture.organisation == "gamma";
     }));
+    CHECK_FALSE(log.line({ "sending the watch again", "kind=config" }).empty());
 }
 
 TEST_CASE("a watch that the store lost unnoticed right after a change ends soon")
@@ -329,13 +334,9 @@
         }
     }
     CHECK(waits.size() == 28);
-    // A VM finds out by itself, and in time, that a watch of what it decides by was lost.
-    const milliseconds longest = FleetView::watchLimits.maxWait;
-    CHECK(longest + ObjectReplica::callTimeout < ObjectReplica::maxChangeLag);
-    // No second passes in which no watch of the fleet ends.
-    for (auto next = std::next(waits.begin()); *std::prev(next) < longest && *next <= longest;
-         ++next)
-        CHECK(*next - *std::prev(next) < seconds(1));
+    // Each VM has a watch that ends soon, so that it needs no other one to notice a silent store.
+    CHECK(*waits.begin() > FleetView::watchLimits.maxWait - FleetView::watchLimits.spread);
+    CHECK(FleetView::watchLimits.maxWait < seconds(2));
 }
 
 TEST_SUITE_END();
