Review case 6: a part of a broken-off answer is sent as the answer

Cause: the held part of a failed attempt is kept while the retry waits in a queue, and is streamed when the request becomes the next of its channel.

--- a/review/rig-2/Rig.cpp
+++ b/review/rig-2/Rig.cpp
@@ -243,6 +243,7 @@
     , m_id(std::move(id))
     , m_options(std::move(options))
     , m_born(unixMilliseconds())
+    , m_answerBytes(m_options.answerBytes)
     , m_server(std::make_unique<Server>(m_options.at, [this](Channel &channel) { serve(channel); }))
 {
     sendReport();
@@ -362,9 +363,15 @@
         }
         const std::string load = "Server-Load: " + std::to_string(m_running.load()) + ",0,"
                                  + std::to_string(m_options.slots) + "\r\n";
+        const std::string answer = response(200, echo + load + "Response-Seal: 3e1b." + id + "\r\n",
+                                            answerBody(id, m_answerBytes));
+        if (breaksOff(*request)) {
+            m_record.line("target " + m_id + " breaks off its answer to " + id);
+            channel.write(std::string_view(answer).substr(0, answer.size() / 2));
+            return;
+        }
         m_record.line("target " + m_id + " answers " + id);
-        if (!channel.write(response(200, echo + load + "Response-Seal: 3e1b." + id + "\r\n",
-                                    answerBody(id, m_options.answerBytes))))
+        if (!channel.write(answer))
             return;
     }
 }
@@ -410,6 +417,14 @@
     m_process = 0;
 }
 
+bool Vm::hasEnded()
+{
+    if (m_process <= 0 || ::waitpid(m_process, nullptr, WNOHANG) != m_process)
+        return false;
+    m_process = 0;
+    return true;
+}
+
 bool Vm::isReady() const
 {
     const auto channel = Channel::connect({ m_ip, 8384 }, 0.3);
--- a/review/rig-2/Rig.h
+++ b/review/rig-2/Rig.h
@@ -94,10 +94,13 @@
     // What a report of now says.
     json report();
     void sendReport();
+    void setAnswerBytes(std::size_t bytes) { m_answerBytes = bytes; }
     // Reports and from then on says that it is leaving.
     void setDraining();
     // Called for each request that it begins to run. Returning false crashes the target.
     std::function<bool(const Message &)> onRun = [](const Message &) { return true; };
+    // Whether the answer to a request breaks off in the middle of its body.
+    std::function<bool(const Message &)> breaksOff = [](const Message &) { return false; };
     // Ends without a word. Its entry stays until the platform removes it.
     void crash();
     bool isCrashed() const { return m_isCrashed; }
@@ -114,6 +117,7 @@
     std::int64_t m_born;
     std::int64_t m_sequence = 0;
     bool m_isDraining = false;
+    std::atomic<std::size_t> m_answerBytes = 0;
     std::atomic<double> m_nextReportAt = 0;
     std::atomic<bool> m_isCrashed = false;
     std::atomic<bool> m_ends = false;
@@ -132,7 +136,8 @@
     ~Vm();
     void start();
     void kill();
-    bool isRunning() const { return m_process > 0; }
+    // Whether the process ended by itself.
+    bool hasEnded();
     bool isReady() const;
     Address front() const { return { m_ip, 8388 }; }
     const std::string &name() const { return m_name; }
--- a/review/rig-2/main.cpp
+++ b/review/rig-2/main.cpp
@@ -1,8 +1,10 @@
 #include "Rig.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdio>
 #include <cstring>
+#include <random>
 
 // Each case exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
@@ -498,6 +500,130 @@
                            + " requests whose clients had left; allowed is a quarter");
 }
 
+struct Reading
+{
+    std::size_t answerBytes;
+    int receiveBuffer; // 0: the usual one
+    double pause;      // before each answer is read
+    int clientsPerMachine;
+    double duration;
+};
+
+struct Counts
+{
+    std::atomic<int> whole = 0;
+    std::atomic<int> refused = 0;
+    std::atomic<int> wrong = 0;
+    std::atomic<int> unanswered = 0;
+};
+
+// Sends requests on a channel and reads their answers, until one is missing or wrong.
+void readAnswers(Rig &rig, const std::string &client, const Address &front, const Reading &reading,
+                 Counts &counts)
+{
+    constexpr int requestsPerChannel = 4;
+    constexpr int deadlineMs = 8000;
+    const auto channel = Channel::connect(front, 1, reading.receiveBuffer);
+    if (!channel) {
+        sleepFor(0.1);
+        return;
+    }
+    std::vector<std::string> ids;
+    std::string requests;
+    for (int i = 0; i < requestsPerChannel; ++i) {
+        ids.push_back(newId());
+        requests += requestHead("GET", "/read/" + ids.back(), ids.back(), key, deadlineMs);
+    }
+    channel->write(requests);
+    for (const std::string &id : ids) {
+        sleepFor(reading.pause);
+        const auto message = channel->readMessage(true, deadlineMs / 1000.0 + 1);
+        if (!message || !message->isComplete) {
+            ++counts.unanswered;
+            return;
+        }
+        const Answer answer = judge(*message, id);
+        const bool isFailure = message->status / 100 == 5 || message->status == 429;
+        if (answer.isWhole || isFailure) {
+            ++(answer.isWhole ? counts.whole : counts.refused);
+            continue;
+        }
+        ++counts.wrong;
+        const bool hasSecondHead = message->body.find("HTTP/1.1 ") != std::string::npos;
+        rig.record().line(client + " has a complete answer " + std::to_string(message->status)
+                          + " to " + id + ", signature \"" + message->field("Response-Seal")
+                          + "\", body of " + std::to_string(message->body.size())
+                          + " bytes that are not the target's"
+                          + (hasSecondHead ? ", with the head of another answer in it" : ""));
+        return;
+    }
+}
+
+void play(Rig &rig, Targets &targets, const Reading &reading, Counts &counts)
+{
+    for (const auto &target : targets)
+        target->setAnswerBytes(reading.answerBytes);
+    const double until = now() + reading.duration;
+    std::vector<std::thread> clients;
+    for (std::size_t i = 0;
+         i < rig.vms().size() * static_cast<std::size_t>(reading.clientsPerMachine); ++i) {
+        const Address front = rig.vms()[i % rig.vms().size()]->front();
+        clients.emplace_back([&, front, client = "client " + std::to_string(i)] {
+            while (now() < until)
+                readAnswers(rig, client, front, reading, counts);
+        });
+    }
+    for (std::thread &client : clients)
+        client.join();
+}
+
+// MIXED: targets break off some of their answers while clients send several requests on a channel.
+int mixed(Rig &rig)
+{
+    constexpr int targetCount = 4;
+    constexpr double faultyShare = 0.6;    // of the targets
+    constexpr double breakOffShare = 0.02; // of the answers of a faulty target
+    const Reading promptly{ 200'000, 0, 0, 12, 40 };
+    const Reading atLeisure{ 2'500'000, 64 * 1024, 0.8, 6, 45 };
+    rig.store().put("config", "main", desiredState(0, 0));
+    std::mutex mutex;
+    std::mt19937 random{ std::random_device{}() };
+    std::uniform_real_distribution<double> chance(0, 1);
+    Targets targets;
+    for (int i = 0; i < targetCount; ++i) {
+        Target::Options options
+                = rig.targetOptions(service, i % 2 == 0 ? "khomas-a" : "khomas-b", i + 1);
+        options.workSeconds = 0.25;
+        targets.push_back(std::make_unique<Target>(rig.store(), rig.record(),
+                                                   "i-" + newId().substr(0, 8), options));
+        if (!isQuiet() && i < std::lround(faultyShare * targetCount))
+            targets.back()->breaksOff = [&](const Message &) {
+                const std::lock_guard lock(mutex);
+                return chance(random) < breakOffShare;
+            };
+    }
+    rig.startVms({ { "khomas-a" }, { "khomas-b" } });
+    sleepFor(5); // the machines are in touch
+    Counts counts;
+    rig.record().line("clients read answers of 200 kB at once");
+    play(rig, targets, promptly, counts);
+    rig.record().line("clients read answers of 2.5 MB with pauses of 0.8 s");
+    play(rig, targets, atLeisure, counts);
+    int ended = 0;
+    for (const auto &vm : rig.vms()) {
+        if (!vm->hasEnded())
+            continue;
+        ++ended;
+        rig.record().line("the process of " + vm->name() + " has ended by itself");
+    }
+    return verdict(rig.record(), counts.wrong > 0 || ended > 0,
+                   std::to_string(counts.wrong) + " complete answers that are wrong, "
+                           + std::to_string(ended) + " of " + std::to_string(rig.vms().size())
+                           + " processes ended by themselves; " + std::to_string(counts.whole)
+                           + " whole answers, " + std::to_string(counts.refused) + " failures, "
+                           + std::to_string(counts.unanswered) + " channels cut");
+}
+
 } // namespace
 
 int main(int argumentCount, char **arguments)
@@ -506,11 +632,9 @@
         std::fprintf(stderr, "usage: rig CASE RECORD\n");
         return notRun;
     }
-    const std::map<std::string, int (*)(Rig &)> cases = { { "quota", quota },
-                                                          { "poison", poison },
-                                                          { "drain", drain },
-                                                          { "lost", lost },
-                                                          { "gone", gone } };
+    const std::map<std::string, int (*)(Rig &)> cases
+            = { { "quota", quota }, { "poison", poison }, { "drain", drain },
+                { "lost", lost },   { "gone", gone },     { "mixed", mixed } };
     const auto found = cases.find(arguments[1]);
     if (found == cases.end())
         return notRun;
