Encode names of entries in the paths and queries of the store's calls

Callers saw 503 for almost each request after all VMs had been restarted while an entry of another writer, under a name such as "i-04 x" or "i-04&x", stood in a list of targets that was longer than a page.

Cause: the name of a page's last entry went into the query of the next call as it is. The store refused the request line (a blank, #, "), or continued after another name (&, +, %41), so the list began anew or never ended, and a VM without a list has no targets. A line break in a name ended the request line. Names in paths had the same fault.

Names are percent-encoded now, in queries and in paths, with the function that the command line and the proxy already had; it moved to core.

Lists of all kinds go through this code.

--- a/src/cli/AdminCommand.cpp
+++ b/src/cli/AdminCommand.cpp
@@ -1,6 +1,7 @@
 #include "basildeck/Command.h"
 #include "cli/CommandLine.h"
 #include "core/Hash.h"
+#include "core/PercentEncoding.h"
 #include "http/HttpClient.h"
 #include "http/LwsLoop.h"
 
--- a/src/http/LwsUtil.cpp
+++ b/src/http/LwsUtil.cpp
@@ -1,5 +1,7 @@
 #include "http/LwsUtil.h"
 
+#include "core/PercentEncoding.h"
+
 #include <libwebsockets.h>
 
 #include <array>
--- a/src/http/RequestHead.cpp
+++ b/src/http/RequestHead.cpp
@@ -1,5 +1,6 @@
 #include "http/RequestHead.h"
 
+#include "core/PercentEncoding.h"
 #include "http/LwsUtil.h"
 
 #include <libwebsockets.h>
--- a/src/http/RequestPipeline.cpp
+++ b/src/http/RequestPipeline.cpp
@@ -1,6 +1,7 @@
 #include "http/RequestPipeline.h"
 
 #include "core/Hash.h"
+#include "core/PercentEncoding.h"
 #include "decide/SlotAssignment.h"
 
 #include <nlohmann/json.hpp>
--- a/src/http/RequestValidator.cpp
+++ b/src/http/RequestValidator.cpp
@@ -1,6 +1,7 @@
 #include "http/RequestValidator.h"
 
 #include "core/Hash.h"
+#include "core/PercentEncoding.h"
 
 #include <algorithm>
 
--- a/src/store/ObjectProtocol.h
+++ b/src/store/ObjectProtocol.h
@@ -51,7 +51,8 @@
     std::uint64_t storeRevision = 0; // where the next watch continues
 };
 
-// The paths and bodies of a store's HTTP API. Each platform provides its own.
+// The paths and bodies of a store's HTTP API. Each platform provides its own. Names of objects may
+// hold any bytes.
 struct ObjectProtocol
 {
     std::string eraHeader; // in all responses; its number rises when the store returns from a copy
--- a/tests/PlatformFormatTest.cpp
+++ b/tests/PlatformFormatTest.cpp
@@ -132,6 +132,10 @@
     CHECK_FALSE(objectProtocol().parsePage("<html>"));
     CHECK_FALSE(objectProtocol().parseChanges("{}"));
     CHECK(objectProtocol().listPath("servers", "i-1") == "/api/objects/servers?after=i-1");
+    CHECK(objectProtocol().listPath("servers", "i 1&a=+#%\r\n")
+          == "/api/objects/servers?after=i%201%26a%3D%2B%23%25%0D%0A");
+    CHECK(objectProtocol().objectPath("nodes", "vm 1?a/b%41\xc3\xa9")
+          == "/api/objects/nodes/vm%201%3Fa%2Fb%2541%C3%A9");
     CHECK(objectProtocol().watchPath("config", 7, milliseconds(50))
           == "/api/objects/config?watch=7&wait_ms=50");
 }
