Do not take a list for complete when a page has no readable name

An entry whose name or revision cannot be read ended the list of its kind if no other entry of the page could be read: targets on later pages counted as deleted, or were never known to a VM that had just started. Nothing was logged but the entry itself.

Cause: a list continued after the last entry that could be read, and a page without one counted as the last, although the store said that more follows.

The list continues after the last name that can be read now, also if the rest of its entry, or the name as UTF-8, cannot be. Without any, the list has failed: what was known is kept, the list is repeated with backoff, and a line "list of the store does not come to an end" says so.

--- a/src/edge/ObjectReplica.cpp
+++ b/src/edge/ObjectReplica.cpp
@@ -13,7 +13,6 @@
 constexpr const char *logComponent = "replica";
 constexpr int statusOk = 200;
 constexpr int statusGone = 410;
-constexpr std::size_t maxLoggedUnreadable = 1000;
 
 } // namespace
 
@@ -23,6 +22,7 @@
     , m_protocol(protocol)
     , m_store(std::move(store))
     , m_kind(std::move(kind))
+    , m_unreadableLog(m_kind)
     , m_callbacks(std::move(callbacks))
     , m_watchTimes(watchTimes)
     , m_client(loop)
@@ -119,24 +119,6 @@
     return true;
 }
 
-void ObjectReplica::logUnreadable(const std::vector<UnreadableEntry> &entries)
-{
-    for (const UnreadableEntry &entry : entries) {
-        // An entry without a name is told apart by the reason.
-        const std::string &key = entry.name.empty() ? entry.reason : entry.name;
-        const auto logged = m_loggedUnreadable.find(key);
-        if (logged != m_loggedUnreadable.end() && logged->second == entry.revision)
-            continue;
-        if (m_loggedUnreadable.size() >= maxLoggedUnreadable)
-            m_loggedUnreadable.clear();
-        m_loggedUnreadable[key] = entry.revision;
-        BASILDECK_WARNING(logComponent)
-                << "entry of the store cannot be read, the others hold kind=" << m_kind
-                << " name=" << entry.name << " revision=" << entry.revision << " reason=\""
-                << entry.reason << '"';
-    }
-}
-
 void ObjectReplica::list()
 {
     m_needsFullList = true;
@@ -217,7 +199,7 @@
         retryLater(page.error().detail);
         return;
     }
-    logUnreadable(page.value().unreadable);
+    m_unreadableLog.record(page.value().unreadable);
     // The watch starts at the revision of the first page, so it reports changes made while later
     // pages were listed.
     if (m_listContinuation.empty()) {
@@ -226,14 +208,13 @@
         listAgain();
         return;
     }
-    const bool more = page.value().hasMore && !page.value().objects.empty();
-    m_listContinuation = more ? page.value().objects.back().name : std::string();
     for (StoredObject &object : page.value().objects)
         m_listed[object.name] = std::move(object);
-    if (more) {
-        list();
+    if (page.value().hasMore) {
+        continueList(page.value().continuation);
         return;
     }
+    m_listContinuation.clear();
     m_needsFullList = false;
     setReachable(true, "listed");
     // A snapshot that was adopted in the meantime can be newer.
@@ -248,6 +229,19 @@
         watch();
 }
 
+void ObjectReplica::continueList(const std::string &after)
+{
+    m_listContinuation = after;
+    if (!after.empty()) {
+        list();
+        return;
+    }
+    BASILDECK_WARNING(logComponent)
+            << "list of the store does not come to an end, listing again kind=" << m_kind
+            << " listed=" << m_listed.size();
+    retryLater("list does not come to an end");
+}
+
 void ObjectReplica::replaceAll(std::map<std::string, StoredObject> objects,
                                const StoreVersion &version)
 {
@@ -393,7 +387,7 @@
         retryLater(changes.error().detail);
         return;
     }
-    logUnreadable(changes.value().unreadable);
+    m_unreadableLog.record(changes.value().unreadable);
     // The revision from which the store reported changes is one of another history.
     if (m_watchEra != m_storeEra) {
         listAgain();
--- a/src/edge/ObjectReplica.h
+++ b/src/edge/ObjectReplica.h
@@ -2,6 +2,7 @@
 
 #include "core/StoreVersion.h"
 #include "edge/JsonHttpClient.h"
+#include "edge/UnreadableEntryLog.h"
 #include "store/ObjectProtocol.h"
 
 #include <cstdint>
@@ -120,6 +121,9 @@
     // Records whether a call got a response.
     void recordResponse(bool received);
     void recordConfirmation(Time at);
+    // Requests the next page. A list that cannot continue is not taken as complete: what it lacks
+    // may exist. It is repeated later.
+    void continueList(const std::string &after);
     void handleListResponse(const Result<JsonHttpResponse> &response);
     void watch();
     void watchFor(milliseconds wait);
@@ -133,8 +137,6 @@
     bool acceptEra(const JsonHttpResponse &response);
     void recordEra(std::uint64_t era);
     void callAgainLater();
-    // Logs the entries that cannot be read, each once.
-    void logUnreadable(const std::vector<UnreadableEntry> &entries);
     void retryLater(const std::string &reason);
     void setReachable(bool reachable, const std::string &reason);
     void replaceAll(std::map<std::string, StoredObject> objects, const StoreVersion &version);
@@ -160,6 +162,7 @@
     const ObjectProtocol &m_protocol;
     Address m_store;
     std::string m_kind;
+    UnreadableEntryLog m_unreadableLog;
     Callbacks m_callbacks;
     WatchTimes m_watchTimes;
     JsonHttpClient m_client;
@@ -170,7 +173,6 @@
     std::deque<LoggedChange> m_log; // oldest first
     std::uint64_t m_logStart = 0;   // the log has all changes after this revision, but for the gaps
     std::deque<Gap> m_gaps;         // oldest first
-    std::map<std::string, std::uint64_t> m_loggedUnreadable; // revision by name
     StoreVersion m_version;
     StoreVersion m_lastChange;
     StoreVersion m_listVersion;   // of the first page
--- a/src/store/EntryReader.cpp
+++ b/src/store/EntryReader.cpp
@@ -21,12 +21,17 @@
     return json::other_error::create(501, reason, nullptr);
 }
 
-// Reads name and revision.
-StoredObject readIdentity(const JsonSlice *entry, const EntryNames &names)
+std::optional<std::vector<JsonSlice>> splitMetadata(const JsonSlice *entry, const EntryNames &names)
 {
     const auto members = entry == nullptr ? std::nullopt : splitJson(entry->text);
     const JsonSlice *metadata = members ? findSlice(*members, names.metadata) : nullptr;
-    const auto fields = metadata == nullptr ? std::nullopt : splitJson(metadata->text);
+    return metadata == nullptr ? std::nullopt : splitJson(metadata->text);
+}
+
+// Reads name and revision.
+StoredObject readIdentity(const JsonSlice *entry, const EntryNames &names)
+{
+    const auto fields = splitMetadata(entry, names);
     if (!fields)
         throw makeError("no " + std::string(names.metadata));
     StoredObject object;
@@ -49,6 +54,19 @@
     return json::parse(slice->text);
 }
 
+std::string readEntryName(const JsonSlice &entry, const EntryNames &names)
+{
+    const auto fields = splitMetadata(&entry, names);
+    const JsonSlice *name = fields ? findSlice(*fields, names.name) : nullptr;
+    if (name == nullptr || !name->text.starts_with('"'))
+        return {};
+    const json value = json::parse(name->text, nullptr, false);
+    if (value.is_string())
+        return value.get<std::string>();
+    const bool hasEscapes = name->text.find('\\') != std::string_view::npos;
+    return hasEscapes ? std::string() : std::string(name->text.substr(1, name->text.size() - 2));
+}
+
 std::optional<StoredObject> readEntry(const JsonSlice *entry, const EntryNames &names,
                                       std::vector<UnreadableEntry> &unreadable)
 {
--- a/src/store/EntryReader.h
+++ b/src/store/EntryReader.h
@@ -30,4 +30,8 @@
 std::optional<StoredObject> readEntry(const JsonSlice *entry, const EntryNames &names,
                                       std::vector<UnreadableEntry> &unreadable);
 
+// Returns the bytes of an entry's name, which need not be valid UTF-8, or an empty string if it
+// cannot be read.
+std::string readEntryName(const JsonSlice &entry, const EntryNames &names);
+
 } // namespace basildeck
--- a/src/store/ObjectProtocol.h
+++ b/src/store/ObjectProtocol.h
@@ -33,7 +33,10 @@
 {
     std::vector<StoredObject> objects; // content that cannot be read is null
     std::vector<UnreadableEntry> unreadable;
-    bool hasMore = false; // the next page starts after the name of the last object
+    bool hasMore = false;
+    // The next page starts after this name: the last one that can be read, in bytes that need not
+    // be valid UTF-8. Empty if there is none, or no next page.
+    std::string continuation;
     std::uint64_t storeRevision = 0;
 };
 
