Give up a list that returns to a page that it had

A store that continues a list after another name than the one it was asked for sends the same pages again. The VM requested them at once, without end and without a log line, and a VM that had just started answered 503 all the while.

Cause: nothing checked that a continuation moves forward.

A list that returns to a continuation that it had is given up, logged with kind, name and the number of pages, and repeated with backoff. As before, a VM that has a list keeps it meanwhile. With names encoded, only a store that decodes them in its own way comes here.

Evidence: the test fails on the code before (the page was requested again at once) for a page that repeats itself and for a circle of two, and passes now.

--- a/src/edge/ObjectReplica.cpp
+++ b/src/edge/ObjectReplica.cpp
@@ -124,6 +124,7 @@
     m_needsFullList = true;
     if (m_listContinuation.empty()) {
         m_listed.clear();
+        m_listContinuations.clear();
         m_listCalledAt = m_loop.now();
     }
     call(m_protocol.listPath(m_kind, m_listContinuation), callTimeout,
@@ -232,13 +233,15 @@
 void ObjectReplica::continueList(const std::string &after)
 {
     m_listContinuation = after;
-    if (!after.empty()) {
+    if (!after.empty() && m_listContinuations.insert(after).second) {
         list();
         return;
     }
     BASILDECK_WARNING(logComponent)
             << "list of the store does not come to an end, listing again kind=" << m_kind
+            << " after=" << after << " pages=" << m_listContinuations.size() + 1
             << " listed=" << m_listed.size();
+    m_listContinuation.clear();
     retryLater("list does not come to an end");
 }
 
--- a/src/edge/ObjectReplica.h
+++ b/src/edge/ObjectReplica.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -121,8 +122,8 @@
     // Records whether a call got a response.
     void recordResponse(bool received);
     void recordConfirmation(Time at);
-    // Requests the next page. A list that cannot continue is not taken as complete: what it lacks
-    // may exist. It is repeated later.
+    // Requests the next page. A list that cannot continue, or returns to a page that it had, is not
+    // taken as complete: what it lacks may exist. It is repeated later.
     void continueList(const std::string &after);
     void handleListResponse(const Result<JsonHttpResponse> &response);
     void watch();
@@ -170,9 +171,10 @@
     std::map<std::string, StoredObject> m_objects;
     std::map<std::string, StoredObject> m_listed; // pages of the current list call
     std::string m_listContinuation;
-    std::deque<LoggedChange> m_log; // oldest first
-    std::uint64_t m_logStart = 0;   // the log has all changes after this revision, but for the gaps
-    std::deque<Gap> m_gaps;         // oldest first
+    std::set<std::string> m_listContinuations; // of the current list call
+    std::deque<LoggedChange> m_log;            // oldest first
+    std::uint64_t m_logStart = 0; // the log has all changes after this revision, but for the gaps
+    std::deque<Gap> m_gaps;       // oldest first
     StoreVersion m_version;
     StoreVersion m_lastChange;
     StoreVersion m_listVersion;   // of the first page
--- a/tests/EndlessListTest.cpp
+++ b/tests/EndlessListTest.cpp
@@ -66,6 +66,34 @@
 
 TEST_SUITE_BEGIN("endless list");
 
+TEST_CASE("a list that returns to an earlier page is requested at once, without end and a log line")
+{
+    for (const bool isSamePage : { true, false }) {
+        CAPTURE(isSamePage);
+        const LogCapture log;
+        ListedReplica vm;
+        CHECK(vm.awaitRequest() == firstCall);
+        vm.respond(entry("a"), true);
+        CHECK(vm.awaitRequest() == callAfter("a"));
+        if (!isSamePage) {
+            vm.respond(entry("b"), true);
+            CHECK(vm.awaitRequest() == callAfter("b"));
+        }
+        const Time answeredAt = Clock::now();
+        vm.respond(entry("a"), true);
+        REQUIRE(vm.awaitRequest() == firstCall);
+        CHECK(Clock::now() - answeredAt >= ObjectReplica::initialBackoff);
+        CHECK_FALSE(vm.replica().isReachable());
+        CHECK_FALSE(log.line({ "does not come to an end", "kind=servers", "after=a", "listed=" })
+                            .empty());
+        vm.respond(entry("a"), true);
+        CHECK(vm.awaitRequest() == callAfter("a"));
+        vm.respond(entry("b"), false);
+        CHECK(vm.awaitRequest().find("?watch=9&") != std::string::npos);
+        CHECK(vm.names() == "a b ");
+    }
+}
+
 TEST_CASE("entries behind a page on which no name can be read are taken as deleted")
 {
     for (const std::string odd :
