Do not take a reset during an upload for the end of the response

A client got a part of a response as a complete 200: its target answered a long upload at once without a length, sent a part of the body and reset the connection while the upload was still being written.

Cause: a send that fails takes the error from the socket. TcpStream only noted that its output had failed, and the read that followed found the bytes and then an ordinary end of stream, which ends a body without a length.

A failed send now also marks the input as failed, unless its error is EPIPE, with which the kernel reports a reset behind the peer's end of stream: such a response is complete and is still passed on. The reason of a close is used by HttpClientConnection alone, so this covers targets, peers and the store; the connections of callers and probes treat both reasons alike.

--- a/src/edge/TcpStream.cpp
+++ b/src/edge/TcpStream.cpp
@@ -166,8 +166,10 @@
                 continue;
             if (errno != EAGAIN && errno != EWOULDBLOCK) {
                 // Data that the peer sent earlier may still be readable; the read side reports the
-                // close.
+                // close. This call has taken the socket's error, though: the read side will see an
+                // end of stream, which the peer has sent only if the error is EPIPE.
                 m_outputFailed = true;
+                m_inputFailed = errno != EPIPE;
                 m_output.clear();
                 m_outputSent = 0;
                 m_pendingOutput = 0;
@@ -261,7 +263,8 @@
         if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
             return;
         if (count <= 0) {
-            closeAndNotify(count == 0 ? CloseReason::EndOfStream : CloseReason::ConnectionError);
+            const bool isEndOfStream = count == 0 && !m_inputFailed;
+            closeAndNotify(isEndOfStream ? CloseReason::EndOfStream : CloseReason::ConnectionError);
             return;
         }
         if (m_callbacks.onData)
--- a/src/edge/TcpStream.h
+++ b/src/edge/TcpStream.h
@@ -92,6 +92,7 @@
     bool m_watchesClose = false; // while reading is paused
     bool m_shutDownAfterFlush = false;
     bool m_outputFailed = false;
+    bool m_inputFailed = false; // what the peer sent may have been lost
     std::unique_ptr<DescriptorWatcher> m_watcher;
     Callbacks m_callbacks;
     std::deque<OutputPart> m_output;
--- a/tests/EdgeFixture.cpp
+++ b/tests/EdgeFixture.cpp
@@ -220,6 +220,16 @@
     });
 }
 
+void EdgeFixture::setMaxBodyBytes(std::size_t bytes)
+{
+    runOnLoop([&] {
+        CallerLimits limits = makeConfig().limits;
+        limits.maxBodyBytes = bytes;
+        m_server->setLimits(limits);
+        m_peerServer->setLimits(limits);
+    });
+}
+
 std::uint64_t EdgeFixture::setConfigAge(std::optional<Duration> age, Duration oldAge,
                                         ErrorKind reason)
 {
--- a/tests/EdgeFixture.h
+++ b/tests/EdgeFixture.h
@@ -51,6 +51,8 @@
     void setForwardingPeers(std::vector<ForwardingPeer> peers);
     std::string peerMetrics();
     std::string metrics();
+    // Changes the limit on the bodies of callers, and of other VMs.
+    void setMaxBodyBytes(std::size_t bytes);
     // The edge knows another configuration from now on, without the route of a prefix.
     void removeRoute(const std::string &prefix);
     // Sets how long ago the store confirmed the configuration. Returns the refusals for a reason
