Read entries of the store one by one in `entry`

One odd object in a watch, among the claims or in the list of VMs ended the process: a name, version, state or mark of deletion of another type. One with bytes or a number that cannot be parsed cost the whole response, so that no configuration arrived any more.

Cause: StoreClient parsed a response as a whole and read its members with json::value(), which throws if a member has another type; nothing caught that within the callbacks of libwebsockets.

Each object is split off and read on its own now, as `edge` does it. One that cannot be read, or is nested more than 64 levels deep, is left out and logged; a response that is no answer is an error with a log line, and for a write one that may have taken effect.

--- a/src/store/EntryReader.cpp
+++ b/src/store/EntryReader.cpp
@@ -8,14 +8,8 @@
 
 namespace {
 
-// Messages of the parser quote the text, which may be long.
 constexpr std::size_t maxReasonLength = 200;
 
-std::string reasonOf(const json::exception &error)
-{
-    return std::string(error.what()).substr(0, maxReasonLength);
-}
-
 json::exception makeError(const std::string &reason)
 {
     return json::other_error::create(501, reason, nullptr);
@@ -45,6 +39,11 @@
 
 } // namespace
 
+std::string reasonOf(const json::exception &error)
+{
+    return std::string(error.what()).substr(0, maxReasonLength);
+}
+
 json parseSlice(const JsonSlice *slice)
 {
     if (slice == nullptr)
--- a/src/store/EntryReader.h
+++ b/src/store/EntryReader.h
@@ -12,6 +12,9 @@
 // Nesting of arrays and objects in a value that is parsed. Copies of a value recurse.
 constexpr std::size_t maxJsonDepth = 64;
 
+// Returns the start of an error's message, which may quote a long text.
+std::string reasonOf(const nlohmann::json::exception &error);
+
 // Parses a value. Throws nlohmann::json::exception if it is invalid or nested too deeply.
 nlohmann::json parseSlice(const JsonSlice *slice);
 
--- a/src/store/StoreClient.cpp
+++ b/src/store/StoreClient.cpp
@@ -1,8 +1,10 @@
 #include "store/StoreClient.h"
 
+#include "core/Log.h"
 #include "http/HttpClient.h"
+#include "store/EntryReader.h"
 
-#include <nlohmann/json.hpp>
+#include <optional>
 
 namespace basildeck {
 
@@ -12,11 +14,75 @@
 
 constexpr milliseconds callTimeout{ 1000 };
 
-StoredValue parseObject(const json &object, std::uint64_t era)
+constexpr const char *logComponent = "store";
+
+std::uint64_t readVersion(const JsonSlice *slice)
+{
+    const json version = parseSlice(slice);
+    if (!version.is_number_unsigned())
+        throw json::other_error::create(501, "version is not an unsigned number", nullptr);
+    return version.get<std::uint64_t>();
+}
+
+// The functions that read a part of a response throw json::exception if it cannot be read.
+std::vector<JsonSlice> readMembers(std::string_view text)
+{
+    auto members = splitJson(text);
+    if (!members)
+        throw json::other_error::create(501, "not an object", nullptr);
+    return std::move(*members);
+}
+
+StoredValue readObject(std::string_view text, std::uint64_t era)
+{
+    const std::vector<JsonSlice> members = readMembers(text);
+    const JsonSlice *deleted = findSlice(members, "deleted");
+    const JsonSlice *value = findSlice(members, "value");
+    StoredValue object;
+    object.era = era;
+    object.name = parseSlice(findSlice(members, "name")).get<std::string>();
+    if (deleted != nullptr && parseSlice(deleted).get<bool>())
+        return object;
+    object.version = readVersion(findSlice(members, "version"));
+    if (value != nullptr)
+        object.value = parseSlice(value).dump();
+    return object;
+}
+
+ListedVm readVm(std::string_view text)
 {
-    const bool deleted = object.value("deleted", false);
-    return { object.value("name", ""), deleted ? 0 : object.value("version", std::uint64_t{ 0 }),
-             deleted || !object.contains("value") ? "" : object["value"].dump(), era };
+    const std::vector<JsonSlice> members = readMembers(text);
+    return { parseSlice(findSlice(members, "name")).get<std::string>(),
+             parseSlice(findSlice(members, "state")).get<std::string>() };
+}
+
+// Reads the items of a response. One that cannot be read, for example because another writer has
+// damaged it, is left out and logged.
+template <typename Read>
+auto readItems(const std::vector<JsonSlice> &members, const std::string &kind, Read read)
+{
+    const JsonSlice *items = findSlice(members, "items");
+    std::vector<decltype(read(std::string_view()))> result;
+    for (const JsonSlice &item : readMembers(items == nullptr ? "" : items->text)) {
+        try {
+            result.push_back(read(item.text));
+        } catch (const json::exception &error) {
+            BASILDECK_WARNING(logComponent) << "entry cannot be read, the others hold kind=" << kind
+                                            << " reason=\"" << reasonOf(error) << '"';
+        }
+    }
+    return result;
+}
+
+StoreChanges readChanges(const std::string &body, const std::string &kind, std::uint64_t era)
+{
+    const std::vector<JsonSlice> members = readMembers(body);
+    StoreChanges changes;
+    changes.era = era;
+    changes.version = readVersion(findSlice(members, "version"));
+    changes.objects = readItems(members, kind,
+                                [era](std::string_view item) { return readObject(item, era); });
+    return changes;
 }
 
 std::uint64_t parseEra(std::string_view value)
@@ -86,6 +152,20 @@
             });
 }
 
+template <typename Value, typename Read>
+Result<Value> StoreClient::parse(const Response &response, Read read, ErrorKind unreadable)
+{
+    if (response.status != 200)
+        return boost::outcome_v2::failure(unexpectedStatus(response.status));
+    try {
+        return read(response);
+    } catch (const json::exception &error) {
+        const std::string detail = "the response cannot be read: " + reasonOf(error);
+        BASILDECK_WARNING(logComponent) << detail;
+        return failure(unreadable, detail);
+    }
+}
+
 void StoreClient::read(const std::string &kind, const std::string &name, OnValue callback)
 {
     call(makeRequest("GET", "/v1/objects/" + kind + "/" + name), callTimeout,
@@ -94,11 +174,9 @@
                  return callback(failure(ErrorKind::StoreUnavailable, response.error().detail));
              if (response.value().status == 404)
                  return callback(StoredValue{ name, 0, "", response.value().era });
-             const json body = json::parse(response.value().body, nullptr, false);
-             if (response.value().status != 200 || !body.is_object())
-                 return callback(
-                         boost::outcome_v2::failure(unexpectedStatus(response.value().status)));
-             callback(parseObject(body, response.value().era));
+             callback(parse<StoredValue>(response.value(), [](const Response &found) {
+                 return readObject(found.body, found.era);
+             }));
          });
 }
 
@@ -113,16 +191,20 @@
          [callback = std::move(callback)](Result<Response> response) {
              if (!response)
                  return callback(boost::outcome_v2::failure(response.error()));
-             const json body = json::parse(response.value().body, nullptr, false);
              const int status = response.value().status;
              if (status == 409)
                  return callback(failure(ErrorKind::EditConflict, "the object has changed"));
              if (status == 400 || status == 413)
                  return callback(failure(ErrorKind::InvalidObject, "the store rejected the value"));
-             if (status != 200 || !body.is_object())
-                 return callback(boost::outcome_v2::failure(unexpectedStatus(status)));
-             callback(StoreVersion{ response.value().era,
-                                    body.value("version", std::uint64_t{ 0 }) });
+             // The write has taken effect if its response cannot be read.
+             callback(parse<StoreVersion>(
+                     response.value(),
+                     [](const Response &written) {
+                         const std::vector<JsonSlice> members = readMembers(written.body);
+                         return StoreVersion{ written.era,
+                                              readVersion(findSlice(members, "version")) };
+                     },
+                     ErrorKind::StoreAnswerLost));
          });
 }
 
@@ -132,21 +214,14 @@
     const std::string query
             = "from=" + std::to_string(from) + "&waitMs=" + std::to_string(wait.count());
     call(makeRequest("GET", "/v1/watch/" + kind, query), wait + callTimeout,
-         [callback = std::move(callback)](Result<Response> response) {
+         [kind, callback = std::move(callback)](Result<Response> response) {
              if (!response)
                  return callback(failure(ErrorKind::StoreUnavailable, response.error().detail));
-             StoreChanges changes;
-             changes.era = response.value().era;
              if (response.value().status == 410)
-                 return callback(std::move(changes));
-             const json body = json::parse(response.value().body, nullptr, false);
-             if (response.value().status != 200 || !body.is_object() || !body.contains("items"))
-                 return callback(
-                         boost::outcome_v2::failure(unexpectedStatus(response.value().status)));
-             changes.version = body.value("version", std::uint64_t{ 0 });
-             for (const json &item : body["items"])
-                 changes.objects.push_back(parseObject(item, changes.era));
-             callback(std::move(changes));
+                 return callback(StoreChanges{ response.value().era, 0, {} });
+             callback(parse<StoreChanges>(response.value(), [&](const Response &watched) {
+                 return readChanges(watched.body, kind, watched.era);
+             }));
          });
 }
 
@@ -156,14 +231,9 @@
          [callback = std::move(callback)](Result<Response> response) {
              if (!response)
                  return callback(failure(ErrorKind::StoreUnavailable, response.error().detail));
-             const json body = json::parse(response.value().body, nullptr, false);
-             if (response.value().status != 200 || !body.is_object() || !body.contains("items"))
-                 return callback(
-                         boost::outcome_v2::failure(unexpectedStatus(response.value().status)));
-             std::vector<ListedVm> vms;
-             for (const json &item : body["items"])
-                 vms.push_back({ item.value("name", ""), item.value("state", "") });
-             callback(std::move(vms));
+             callback(parse<std::vector<ListedVm>>(response.value(), [](const Response &listed) {
+                 return readItems(readMembers(listed.body), "vms", readVm);
+             }));
          });
 }
 
--- a/src/store/StoreClient.h
+++ b/src/store/StoreClient.h
@@ -91,6 +91,11 @@
     };
     using OnResponse = std::function<void(Result<Response>)>;
 
+    // Reads the body of a response of status 200.
+    template <typename Value, typename Read>
+    static Result<Value> parse(const Response &response, Read read,
+                               ErrorKind unreadable = ErrorKind::StoreUnavailable);
+
     explicit StoreClient(std::vector<Address> addresses);
     void call(HttpRequest request, milliseconds timeout, OnResponse callback);
 
