Refuse the claims of a bucket that cannot be read in `entry`

A bucket of claims with a field of another type ended the process that read it. One that was no object counted as empty, so that a request whose claim it had hidden could run a second time.

Cause: the bucket was decoded with json::value(), which throws if a member has another type, and nothing caught that; a value that could not be parsed was treated like one that does not exist.

A bucket that cannot be read leaves its claims undecided: they are refused as not run after their usual timeout, nothing is written over the bucket, and it is read again for new claims, with a log line. Other buckets are not affected.

--- a/src/decide/ClaimRegistry.cpp
+++ b/src/decide/ClaimRegistry.cpp
@@ -97,12 +97,12 @@
 {
     Entries entries;
     era = 0;
-    const auto document = nlohmann::json::parse(value, nullptr, false);
-    if (!document.is_object() || !document.contains("claims"))
+    const auto document = nlohmann::json::parse(value);
+    if (!document.contains("claims") && document.is_object())
         return entries;
     era = document.value("era", std::uint64_t{ 0 });
-    for (const auto &item : document["claims"].items()) {
-        const nlohmann::json &from = item.value();
+    for (const auto &item : document.at("claims").get<std::map<std::string, nlohmann::json>>()) {
+        const nlohmann::json &from = item.second;
         Entry entry;
         entry.id = { from.value("vm", ""), from.value("inc", std::uint64_t{ 0 }),
                      from.value("seq", std::uint64_t{ 0 }) };
@@ -111,7 +111,7 @@
         entry.expiresUnixSeconds = from.value("until", std::int64_t{ 0 });
         entry.outcome = { from.value("status", 0), from.value("type", ""), from.value("body", ""),
                           from.value("kept", false) };
-        entries.emplace(item.key(), std::move(entry));
+        entries.emplace(item.first, std::move(entry));
     }
     return entries;
 }
@@ -322,19 +322,27 @@
     return calls;
 }
 
-void ClaimRegistry::readDone(int index, std::uint64_t version, const std::string &value, Time now)
+bool ClaimRegistry::readDone(int index, std::uint64_t version, const std::string &value, Time now)
 {
     Bucket &bucket = m_buckets[index];
+    try {
+        std::uint64_t storedEra = 0;
+        bucket.entries = version == 0 ? Entries() : decode(value, storedEra);
+        bucket.storedEra = storedEra;
+    } catch (const nlohmann::json::exception &) {
+        callFailed(index, now);
+        return false;
+    }
     bucket.callPending = false;
     bucket.isLoaded = true;
     bucket.wasLoaded = true;
     bucket.version = version;
     bucket.readAt = now;
-    bucket.entries = decode(version == 0 ? "" : value, bucket.storedEra);
     recall(bucket, now);
     for (PendingClaim &pending : bucket.begins)
         pending.inWrite = false;
     resolvePending(bucket, now);
+    return true;
 }
 
 void ClaimRegistry::writeDone(int index, std::uint64_t version, Time now)
--- a/src/decide/ClaimRegistry.h
+++ b/src/decide/ClaimRegistry.h
@@ -124,8 +124,10 @@
     // Returns the calls to make now.
     std::vector<StoreCall> dueCalls(Time now, std::int64_t nowUnixSeconds);
 
-    // Handles the result of a read; the version is 0 if the object does not exist.
-    void readDone(int bucket, std::uint64_t version, const std::string &value, Time now);
+    // Handles the result of a read; the version is 0 if the object does not exist. Returns false if
+    // the value cannot be read. Then the claims of the bucket are refused, because it may have the
+    // keys of requests that were executed, and it is read again later.
+    bool readDone(int bucket, std::uint64_t version, const std::string &value, Time now);
     // Handles a write that took effect.
     void writeDone(int bucket, std::uint64_t version, Time now);
     // Handles a call without a result. If it was a write, it may have taken effect. The next call
@@ -205,6 +207,7 @@
     bool prepareWrite(Bucket &bucket, Time now, std::int64_t nowUnixSeconds) const;
     static void merge(Entries &entries, const Entries &remembered);
     static std::string encode(const Entries &entries, std::uint64_t era);
+    // Throws nlohmann::json::exception if the value cannot be read.
     static Entries decode(const std::string &value, std::uint64_t &era);
 
     std::map<int, Bucket> m_buckets;
--- a/src/store/StoreTask.cpp
+++ b/src/store/StoreTask.cpp
@@ -417,11 +417,13 @@
             m_client->read(claimsKind, name, [this, bucket](Result<StoredValue> value) {
                 const Time completed = Clock::now();
                 checkEra(completed);
-                if (value)
-                    m_claims.readDone(bucket, value.value().version, value.value().value,
-                                      completed);
-                else
-                    m_claims.callFailed(bucket, completed);
+                if (!value)
+                    return m_claims.callFailed(bucket, completed);
+                const StoredValue &read = value.value();
+                if (!m_claims.readDone(bucket, read.version, read.value, completed))
+                    BASILDECK_WARNING(component)
+                            << "claims cannot be read, new ones are refused name=" << read.name
+                            << " version=" << read.version;
             });
             continue;
         }
