Keep the lines of the log apart from names with control characters

The name of an odd entry is logged as the store gave it. A line break in it began a line of its own, which could look like any other line of the log.

Cause: the sink wrote messages as they were. It escapes control characters now, for all components, since keys of JSON, targets' ids and file names end up there as well. Labels of metrics hold no names of entries; routes and organisations were escaped before.

--- a/src/core/LogSink.cpp
+++ b/src/core/LogSink.cpp
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <cctype>
 #include <cstdint>
 #include <cstdio>
 #include <ctime>
@@ -44,7 +45,7 @@
     {
         if (!admit(baseFileName, line))
             return;
-        write(severity, std::string(message, length));
+        write(severity, toSingleLine({ message, length }));
     }
 
 private:
@@ -108,6 +109,24 @@
     std::uint64_t m_droppedLines = 0;
 };
 
+std::string LogSink::toSingleLine(std::string_view message)
+{
+    static constexpr std::string_view digits = "0123456789abcdef";
+    std::string line;
+    line.reserve(message.size());
+    for (const char character : message) {
+        const auto byte = static_cast<unsigned char>(character);
+        if (std::iscntrl(byte) == 0) {
+            line += character;
+            continue;
+        }
+        line += "\\x";
+        line += digits[byte >> 4];
+        line += digits[byte & 15];
+    }
+    return line;
+}
+
 LogSink::LogSink()
 {
     google::InitGoogleLogging("basildeck");
--- a/src/core/LogSink.h
+++ b/src/core/LogSink.h
@@ -3,6 +3,8 @@
 #include "core/Log.h"
 
 #include <memory>
+#include <string>
+#include <string_view>
 
 namespace basildeck {
 
@@ -17,6 +19,10 @@
     // Applies to each source line that logs.
     static constexpr int maxLinesPerSecond = 40;
 
+    // Returns a message with its control characters replaced by escapes such as "\\x0a", because it
+    // may quote names that others chose.
+    static std::string toSingleLine(std::string_view message);
+
     LogSink();
     ~LogSink();
     LogSink(const LogSink &) = delete;
