Read the responses of upstreams strictly in `entry`

Callers of `entry` got a response in whose head the name of a field held a blank, a control byte or nothing at all as an answer, without that line. A spoiled Content-Length or Transfer-Encoding was left out in the same way, so that the end of the body was another one than the upstream meant.

Cause: libwebsockets' client takes any line and keeps the fields that it knows. Its version here has no way to ask for the others.

libwebsockets connects, reads and writes as before, on raw connections; the parser of `edge`, which refuses such heads, reads the responses and has moved to src/http. A response that is not valid HTTP counts as a lost connection, as it did where libwebsockets noticed, and an invalid status as before. Requests carry no Cache-Control and Pragma of the library any more.

--- a/src/edge/CallerConnection.h
+++ b/src/edge/CallerConnection.h
@@ -3,7 +3,7 @@
 #include "config/FleetConfig.h"
 #include "decide/memory/MemoryBudget.h"
 #include "edge/ForwardedRequest.h"
-#include "edge/HttpParser.h"
+#include "http/HttpParser.h"
 #include "edge/TcpStream.h"
 
 #include <cstdint>
--- a/src/edge/ForwardingFields.h
+++ b/src/edge/ForwardingFields.h
@@ -2,7 +2,7 @@
 
 #include "basildeck/ErrorKind.h"
 #include "basildeck/Time.h"
-#include "edge/HttpParser.h"
+#include "http/HttpParser.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/src/edge/HttpClientConnection.h
+++ b/src/edge/HttpClientConnection.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "edge/HttpParser.h"
+#include "http/HttpParser.h"
 #include "edge/TcpStream.h"
 
 #include <functional>
--- a/src/edge/TargetNotice.h
+++ b/src/edge/TargetNotice.h
@@ -3,7 +3,7 @@
 #include "basildeck/Time.h"
 #include "decide/ConcurrencyLimiter.h"
 #include "decide/TargetLimit.h"
-#include "edge/HttpParser.h"
+#include "http/HttpParser.h"
 #include "edge/WireNames.h"
 
 #include <optional>
--- a/src/http/RequestHead.cpp
+++ b/src/http/RequestHead.cpp
@@ -47,28 +47,28 @@
     ForwardedHeader{ noToken, "idempotency-key" },
 };
 
-constexpr std::array forwardedResponseHeaders = {
-    ForwardedHeader{ WSI_TOKEN_HTTP_CONTENT_TYPE, "content-type" },
-    ForwardedHeader{ WSI_TOKEN_HTTP_CONTENT_ENCODING, "content-encoding" },
-    ForwardedHeader{ WSI_TOKEN_HTTP_CONTENT_LANGUAGE, "content-language" },
-    ForwardedHeader{ WSI_TOKEN_HTTP_CONTENT_DISPOSITION, "content-disposition" },
-    ForwardedHeader{ WSI_TOKEN_HTTP_CONTENT_LOCATION, "content-location" },
-    ForwardedHeader{ WSI_TOKEN_HTTP_CONTENT_RANGE, "content-range" },
-    ForwardedHeader{ WSI_TOKEN_HTTP_ACCEPT_RANGES, "accept-ranges" },
-    ForwardedHeader{ WSI_TOKEN_HTTP_AGE, "age" },
-    ForwardedHeader{ WSI_TOKEN_HTTP_ALLOW, "allow" },
-    ForwardedHeader{ WSI_TOKEN_HTTP_CACHE_CONTROL, "cache-control" },
-    ForwardedHeader{ WSI_TOKEN_HTTP_DATE, "date" },
-    ForwardedHeader{ WSI_TOKEN_HTTP_ETAG, "etag" },
-    ForwardedHeader{ WSI_TOKEN_HTTP_EXPIRES, "expires" },
-    ForwardedHeader{ WSI_TOKEN_HTTP_LAST_MODIFIED, "last-modified" },
-    ForwardedHeader{ WSI_TOKEN_HTTP_LINK, "link" },
-    ForwardedHeader{ WSI_TOKEN_HTTP_LOCATION, "location" },
-    ForwardedHeader{ WSI_TOKEN_HTTP_RETRY_AFTER, "retry-after" },
-    ForwardedHeader{ WSI_TOKEN_HTTP_SET_COOKIE, "set-cookie" },
-    ForwardedHeader{ WSI_TOKEN_HTTP_VARY, "vary" },
-    ForwardedHeader{ WSI_TOKEN_HTTP_WWW_AUTHENTICATE, "www-authenticate" },
-    ForwardedHeader{ noToken, "x-request-id" },
+constexpr std::array<std::string_view, 21> forwardedResponseHeaders = {
+    "content-type",
+    "content-encoding",
+    "content-language",
+    "content-disposition",
+    "content-location",
+    "content-range",
+    "accept-ranges",
+    "age",
+    "allow",
+    "cache-control",
+    "date",
+    "etag",
+    "expires",
+    "last-modified",
+    "link",
+    "location",
+    "retry-after",
+    "set-cookie",
+    "vary",
+    "www-authenticate",
+    "x-request-id",
 };
 
 std::optional<std::string> headerValue(lws *connection, const ForwardedHeader &header)
@@ -77,11 +77,10 @@
                                    : lws_util::tokenHeader(connection, header.token);
 }
 
-template <typename Table>
-std::vector<HttpHeader> readHeaders(lws *connection, const Table &table)
+std::vector<HttpHeader> readForwardedHeaders(lws *connection)
 {
     std::vector<HttpHeader> headers;
-    for (const ForwardedHeader &header : table) {
+    for (const ForwardedHeader &header : forwardedRequestHeaders) {
         if (auto value = headerValue(connection, header))
             headers.push_back({ header.name, std::move(*value) });
     }
@@ -179,7 +178,7 @@
     const std::string expect
             = lws_util::tokenHeader(connection, WSI_TOKEN_HTTP_EXPECT).value_or("");
     head.expectsContinue = expect == "100-continue";
-    head.forwardedHeaders = readHeaders(connection, forwardedRequestHeaders);
+    head.forwardedHeaders = readForwardedHeaders(connection);
     return head;
 }
 
@@ -193,9 +192,17 @@
     return candidates;
 }
 
-std::vector<HttpHeader> readResponseHeaders(lws *connection)
+std::vector<HttpHeader> forwardedHeaders(const HeaderFields &fields)
 {
-    return readHeaders(connection, forwardedResponseHeaders);
+    std::vector<HttpHeader> headers;
+    for (const auto &[fieldName, value] : fields.all()) {
+        const auto found
+                = std::find_if(forwardedResponseHeaders.begin(), forwardedResponseHeaders.end(),
+                               [&](auto name) { return equalsIgnoreCase(name, fieldName); });
+        if (found != forwardedResponseHeaders.end())
+            headers.push_back({ std::string(*found), value });
+    }
+    return headers;
 }
 
 } // namespace basildeck
--- a/src/http/RequestHead.h
+++ b/src/http/RequestHead.h
@@ -2,6 +2,7 @@
 
 #include "basildeck/Result.h"
 #include "http/HttpMessages.h"
+#include "http/HttpParser.h"
 
 #include <optional>
 #include <string>
@@ -40,7 +41,7 @@
 // put an API key by mistake: path segments, query values and header values.
 std::vector<std::string> keyCandidates(const RequestHead &head);
 
-// Reads the end-to-end headers of an upstream's response that are forwarded to callers.
-std::vector<HttpHeader> readResponseHeaders(lws *connection);
+// Returns the end-to-end headers of an upstream's response that are forwarded to callers.
+std::vector<HttpHeader> forwardedHeaders(const HeaderFields &fields);
 
 } // namespace basildeck
--- a/src/http/UpstreamClient.cpp
+++ b/src/http/UpstreamClient.cpp
@@ -1,39 +1,100 @@
 #include "http/UpstreamClient.h"
 
+#include "http/HttpParser.h"
 #include "http/LwsLoop.h"
-#include "http/LwsUtil.h"
 #include "http/RequestHead.h"
 
 #include <libwebsockets.h>
 
 #include <sys/socket.h>
 
-#include <array>
-#include <charconv>
+#include <utility>
 
 namespace basildeck {
 
+namespace {
+
+constexpr std::size_t maxHeadBytes = 64 * 1024;
+constexpr std::size_t maxWriteBytes = 64 * 1024;
+constexpr int limitedReceiveBufferBytes = 64 * 1024;
+
+std::string serializeHead(const UpstreamRequest &request)
+{
+    std::string head = request.method + " " + request.target + " HTTP/1.1\r\nHost: " + request.host
+                       + "\r\nConnection: close\r\n";
+    for (const HttpHeader &header : request.headers)
+        head += header.name + ": " + header.value + "\r\n";
+    if (request.contentLength)
+        head += "Content-Length: " + std::to_string(*request.contentLength) + "\r\n";
+    return head + "\r\n";
+}
+
+UpstreamResponseHead describe(const MessageHead &received, bool isHeadRequest)
+{
+    UpstreamResponseHead head;
+    head.status = received.status;
+    head.headers = forwardedHeaders(received.fields);
+    head.contentLength = received.contentLength;
+    head.bodyless = isHeadRequest || head.status == 204 || head.status == 304;
+    head.selfDelimited = !received.isDelimitedByClose;
+    const std::string *run = received.fields.find("basildeck-run");
+    head.notRun = run != nullptr && *run == "not-run";
+    return head;
+}
+
+bool writeRaw(lws *connection, std::string_view bytes)
+{
+    std::string buffer(LWS_PRE, '\0');
+    buffer.append(bytes);
+    return lws_write(connection, reinterpret_cast<unsigned char *>(buffer.data()) + LWS_PRE,
+                     bytes.size(), LWS_WRITE_RAW)
+           >= 0;
+}
+
+} // namespace
+
 struct UpstreamClient::Attempt
 {
-    UpstreamClient *client = nullptr;
-    AttemptId id = 0;
+    Attempt(UpstreamClient &owner, AttemptId attemptId, UpstreamRequest attemptRequest)
+        : client(&owner)
+        , id(attemptId)
+        , request(std::move(attemptRequest))
+        , bodySent(request.contentLength.value_or(0) == 0)
+        , parser(HttpParser::MessageType::Response, maxHeadBytes,
+                 { [this](MessageHead received) { head = std::move(received); },
+                   [this](std::string_view bytes) { body.append(bytes); },
+                   [this] { completed = true; } })
+    {
+        parser.expectNoBody(isHeadRequest());
+    }
+
+    bool isHeadRequest() const { return request.method == "HEAD"; }
+    bool hasInvalidStatus() const
+    {
+        return parser.parseError() == HttpParser::ParseError::InvalidStatus
+               || (head && head->status < minFinalStatus);
+    }
+    bool hasInvalidInput() const
+    {
+        return hasInvalidStatus() || parser.parseError() != HttpParser::ParseError::None;
+    }
+
+    static constexpr int minFinalStatus = 200;
+
+    UpstreamClient *client;
+    AttemptId id;
     UpstreamRequest request;
     lws *connection = nullptr;
     bool requestStarted = false; // a byte of the request may have reached the upstream
-    bool bodySent = false;
-    bool headReceived = false;
+    bool bodySent;
+    // What was received and has not been reported yet. Events may end the attempt, so they follow
+    // after the parser has returned.
+    std::optional<MessageHead> head;
+    std::string body;
     bool completed = false;
-    std::optional<std::size_t> remainingBodyBytes; // of the response, if its length is known
+    HttpParser parser;
 };
 
-namespace {
-
-constexpr std::size_t readBufferBytes = 64 * 1024;
-constexpr std::size_t maxWriteBytes = 64 * 1024;
-constexpr int limitedReceiveBufferBytes = 64 * 1024;
-
-} // namespace
-
 std::unique_ptr<UpstreamClient> UpstreamClient::make(LwsLoop &loop, Events events)
 {
     std::unique_ptr<UpstreamClient> client(new UpstreamClient(loop, std::move(events)));
@@ -64,13 +125,9 @@
 UpstreamClient::AttemptId UpstreamClient::startAttempt(const Address &address,
                                                        UpstreamRequest request)
 {
-    auto owned = std::make_unique<Attempt>();
+    const AttemptId id = m_nextId++;
+    auto owned = std::make_unique<Attempt>(*this, id, std::move(request));
     Attempt &attempt = *owned;
-    attempt.client = this;
-    attempt.id = m_nextId++;
-    attempt.request = std::move(request);
-    attempt.bodySent = attempt.request.contentLength.value_or(0) == 0;
-    const AttemptId id = attempt.id;
     m_attempts.emplace(id, std::move(owned));
 
     lws_client_connect_info info{};
@@ -78,11 +135,10 @@
     info.vhost = m_vhost;
     info.address = address.ip.c_str();
     info.port = address.port;
-    info.path = attempt.request.target.c_str();
-    info.host = attempt.request.host.c_str();
-    info.method = attempt.request.method.c_str();
+    info.path = "";
+    info.host = info.address;
+    info.method = "RAW";
     info.local_protocol_name = "upstream";
-    info.ssl_connection = LCCSCF_HTTP_NO_FOLLOW_REDIRECT;
     info.opaque_user_data = &attempt;
     info.pwsi = &attempt.connection;
     if (lws_client_connect_via_info(&info) == nullptr && m_attempts.contains(id))
@@ -137,9 +193,8 @@
                             : static_cast<Attempt *>(lws_get_opaque_user_data(connection));
     if (attempt != nullptr)
         return attempt->client->dispatch(connection, *attempt, reason, in, length);
-    const bool cancelled = reason == LWS_CALLBACK_RECEIVE_CLIENT_HTTP
-                           || reason == LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER
-                           || reason == LWS_CALLBACK_CLIENT_HTTP_WRITEABLE;
+    const bool cancelled = reason == LWS_CALLBACK_RAW_CONNECTED || reason == LWS_CALLBACK_RAW_RX
+                           || reason == LWS_CALLBACK_RAW_WRITEABLE;
     if (cancelled)
         return -1;
     return lws_callback_http_dummy(connection, static_cast<lws_callback_reasons>(reason), user, in,
@@ -150,62 +205,36 @@
                              std::size_t length)
 {
     switch (reason) {
-    case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER:
-        attempt.requestStarted = true;
+    case LWS_CALLBACK_RAW_CONNECTED:
         if (attempt.request.limitsReceiveBuffer)
             ::setsockopt(lws_get_socket_fd(connection), SOL_SOCKET, SO_RCVBUF,
                          &limitedReceiveBufferBytes, sizeof limitedReceiveBufferBytes);
-        return appendHeaders(connection, attempt, in, length);
-    case LWS_CALLBACK_CLIENT_HTTP_WRITEABLE:
-        return writeBody(connection, attempt);
-    case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP:
-        return onHead(connection, attempt);
-    case LWS_CALLBACK_RECEIVE_CLIENT_HTTP:
-        return onReadable(connection, attempt);
-    case LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ:
-        if (attempt.remainingBodyBytes && length > *attempt.remainingBodyBytes)
-            return -1;
-        if (attempt.remainingBodyBytes)
-            *attempt.remainingBodyBytes -= length;
-        m_events.onResponseData(attempt.id, { static_cast<const char *>(in), length });
-        return 0;
-    case LWS_CALLBACK_COMPLETED_CLIENT_HTTP:
-        attempt.completed = true;
+        lws_callback_on_writable(connection);
         return 0;
+    case LWS_CALLBACK_RAW_WRITEABLE:
+        return attempt.requestStarted ? writeBody(connection, attempt)
+                                      : writeHead(connection, attempt);
+    case LWS_CALLBACK_RAW_RX:
+        return receive(connection, attempt, { static_cast<const char *>(in), length });
     case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
-    case LWS_CALLBACK_CLOSED_CLIENT_HTTP: {
+    case LWS_CALLBACK_RAW_CLOSE:
         lws_set_opaque_user_data(connection, nullptr);
         finish(attempt.id, attempt.requestStarted ? AttemptResult::ConnectionLost
                                                   : AttemptResult::ConnectFailed);
         return 0;
-    }
     default:
         return 0;
     }
 }
 
-int UpstreamClient::appendHeaders(lws *connection, Attempt &attempt, void *in, std::size_t length)
+int UpstreamClient::writeHead(lws *connection, Attempt &attempt)
 {
-    auto **cursor = static_cast<unsigned char **>(in);
-    unsigned char *end = *cursor + length;
-    const auto add = [&](const std::string &name, const std::string &value) {
-        const std::string nameWithColon = name + ":";
-        return lws_add_http_header_by_name(
-                       connection, reinterpret_cast<const unsigned char *>(nameWithColon.c_str()),
-                       reinterpret_cast<const unsigned char *>(value.data()),
-                       static_cast<int>(value.size()), cursor, end)
-               == 0;
-    };
-    bool added = add("connection", "close");
-    for (const HttpHeader &header : attempt.request.headers)
-        added = added && add(header.name, header.value);
-    if (attempt.request.contentLength)
-        added = added && add("content-length", std::to_string(*attempt.request.contentLength));
-    if (!attempt.bodySent) {
-        lws_client_http_body_pending(connection, 1);
+    attempt.requestStarted = true;
+    if (!writeRaw(connection, serializeHead(attempt.request)))
+        return -1;
+    if (!attempt.bodySent)
         lws_callback_on_writable(connection);
-    }
-    return added ? 0 : -1;
+    return 0;
 }
 
 int UpstreamClient::writeBody(lws *connection, Attempt &attempt)
@@ -215,80 +244,40 @@
     const BodyPart part = m_events.takeRequestBody(attempt.id, maxWriteBytes);
     if (part.bytes.empty() && !part.last)
         return 0;
-    std::string buffer(LWS_PRE, '\0');
-    buffer.append(part.bytes);
-    if (part.last) {
-        attempt.bodySent = true;
-        lws_client_http_body_pending(connection, 0);
-    }
-    if (lws_write(connection, reinterpret_cast<unsigned char *>(buffer.data()) + LWS_PRE,
-                  part.bytes.size(), part.last ? LWS_WRITE_HTTP_FINAL : LWS_WRITE_HTTP)
-        < 0)
+    attempt.bodySent = part.last;
+    if (!part.bytes.empty() && !writeRaw(connection, part.bytes))
         return -1;
     if (!part.last)
         lws_callback_on_writable(connection);
     return 0;
 }
 
-int UpstreamClient::onHead(lws *connection, Attempt &attempt)
+int UpstreamClient::receive(lws *connection, Attempt &attempt, std::string_view bytes)
 {
-    if (!lws_util::hasFinalStatus(connection)) {
+    const AttemptId id = attempt.id;
+    attempt.parser.feed(bytes);
+    if (attempt.hasInvalidInput()) {
         lws_set_opaque_user_data(connection, nullptr);
-        finish(attempt.id, AttemptResult::InvalidResponse);
+        finish(id, attempt.hasInvalidStatus() ? AttemptResult::InvalidResponse
+                                              : AttemptResult::ConnectionLost);
         return -1;
     }
-    UpstreamResponseHead head;
-    head.status = static_cast<int>(lws_http_client_http_response(connection));
-    head.headers = readResponseHeaders(connection);
-    const auto length = lws_util::tokenHeader(connection, WSI_TOKEN_HTTP_CONTENT_LENGTH);
-    const auto transferEncoding
-            = lws_util::tokenHeader(connection, WSI_TOKEN_HTTP_TRANSFER_ENCODING);
-    if (length) {
-        std::size_t value = 0;
-        const auto [stop, error]
-                = std::from_chars(length->data(), length->data() + length->size(), value);
-        if (error == std::errc() && stop == length->data() + length->size())
-            head.contentLength = value;
+    if (attempt.head) {
+        const auto head = std::exchange(attempt.head, std::nullopt);
+        m_events.onResponseHead(id, describe(*head, attempt.isHeadRequest()));
+        if (!m_attempts.contains(id))
+            return -1;
     }
-    head.bodyless = attempt.request.method == "HEAD" || head.status == 204 || head.status == 304;
-    head.selfDelimited = head.bodyless
-                         || (transferEncoding ? *transferEncoding == "chunked" && !length
-                                              : head.contentLength.has_value());
-    head.notRun = lws_util::namedHeader(connection, "basildeck-run").value_or("") == "not-run";
-    attempt.headReceived = true;
-    if (!head.bodyless)
-        attempt.remainingBodyBytes = head.contentLength;
-    const AttemptId id = attempt.id;
-    m_events.onResponseHead(id, head);
-    if (!m_attempts.contains(id))
-        return -1;
-    if (!head.bodyless && attempt.remainingBodyBytes.value_or(1) != 0)
+    if (!attempt.body.empty()) {
+        m_events.onResponseData(id, std::exchange(attempt.body, {}));
+        if (!m_attempts.contains(id))
+            return -1;
+    }
+    if (!attempt.completed)
         return 0;
     lws_set_opaque_user_data(connection, nullptr);
     finish(id, AttemptResult::Complete);
     return -1;
 }
 
-// LWS_CALLBACK_COMPLETED_CLIENT_HTTP alone does not prove that a response is complete, because
-// libwebsockets also reports it for a truncated chunked response. The read that reports it must
-// succeed too.
-int UpstreamClient::onReadable(lws *connection, Attempt &attempt)
-{
-    static thread_local std::array<char, LWS_PRE + readBufferBytes> buffer;
-    char *cursor = buffer.data() + LWS_PRE;
-    int length = static_cast<int>(readBufferBytes);
-    const AttemptId id = attempt.id;
-    const int result = lws_http_client_read(connection, &cursor, &length);
-    if (!m_attempts.contains(id))
-        return -1;
-    const bool lengthReached = attempt.remainingBodyBytes && *attempt.remainingBodyBytes == 0;
-    const bool chunksEnded = !attempt.remainingBodyBytes && attempt.completed && result >= 0;
-    if (lengthReached || chunksEnded) {
-        lws_set_opaque_user_data(connection, nullptr);
-        finish(id, AttemptResult::Complete);
-        return -1;
-    }
-    return result < 0 || attempt.completed ? -1 : 0;
-}
-
 } // namespace basildeck
--- a/src/http/UpstreamClient.h
+++ b/src/http/UpstreamClient.h
@@ -47,11 +47,13 @@
     Complete,        // the complete response was received
     ConnectFailed,   // no byte of the request was sent
     InvalidResponse, // the status is invalid; the connection was closed
-    ConnectionLost,  // the connection was closed before the response was complete
+    // The connection was closed before the response was complete, or because it is not valid HTTP.
+    ConnectionLost,
 };
 
 // An HTTP client that streams requests to upstreams. Each attempt sends one request on a connection
-// of its own. All methods must be called on the loop's thread.
+// of its own. libwebsockets provides the connection only: its client does not tell whether the
+// fields of a head are valid. All methods must be called on the loop's thread.
 class UpstreamClient
 {
 public:
@@ -94,10 +96,9 @@
     UpstreamClient(LwsLoop &loop, Events events);
     static int callback(lws *connection, int reason, void *user, void *in, std::size_t length);
     int dispatch(lws *connection, Attempt &attempt, int reason, void *in, std::size_t length);
-    static int appendHeaders(lws *connection, Attempt &attempt, void *in, std::size_t length);
+    static int writeHead(lws *connection, Attempt &attempt);
     int writeBody(lws *connection, Attempt &attempt);
-    int onHead(lws *connection, Attempt &attempt);
-    int onReadable(lws *connection, Attempt &attempt);
+    int receive(lws *connection, Attempt &attempt, std::string_view bytes);
     void finish(AttemptId id, AttemptResult attemptResult);
 
     LwsLoop &m_loop;
--- a/tests/HttpParserTest.cpp
+++ b/tests/HttpParserTest.cpp
@@ -1,4 +1,4 @@
-#include "edge/HttpParser.h"
+#include "http/HttpParser.h"
 
 #include <doctest/doctest.h>
 
--- a/tools/soak/SoakLongCallers.h
+++ b/tools/soak/SoakLongCallers.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "edge/HttpParser.h"
+#include "http/HttpParser.h"
 #include "soak/SoakVms.h"
 
 #include <deque>
