--- a/src/http/HttpParser.cpp
+++ b/src/http/HttpParser.cpp
@@ -59,6 +59,16 @@
 
 } // namespace
 
+bool isFieldValue(std::string_view text)
+{
+    const auto isSpace = [](char c) { return c == ' ' || c == '\t'; };
+    return std::none_of(text.begin(), text.end(),
+                        [](char c) {
+                            return c != '\t' && std::iscntrl(static_cast<unsigned char>(c)) != 0;
+                        })
+           && (text.empty() || (!isSpace(text.front()) && !isSpace(text.back())));
+}
+
 bool equalsIgnoreCase(std::string_view first, std::string_view second)
 {
     return first.size() == second.size()
--- a/src/http/HttpParser.h
+++ b/src/http/HttpParser.h
@@ -27,6 +27,10 @@
     std::vector<Field> m_fields;
 };
 
+// Whether a text can be the value of a field: no control characters but tabs, and no white space at
+// its ends (RFC 9110, section 5.5).
+bool isFieldValue(std::string_view text);
+
 bool equalsIgnoreCase(std::string_view first, std::string_view second);
 
 // Returns the value of a cookie in a Cookie header, or an empty string if it is missing.
