--- a/src/http/RequestHead.cpp
+++ b/src/http/RequestHead.cpp
@@ -195,12 +195,12 @@
 std::vector<HttpHeader> forwardedHeaders(const HeaderFields &fields)
 {
     std::vector<HttpHeader> headers;
-    for (const auto &[fieldName, value] : fields.all()) {
+    for (const HeaderFields::Field &field : fields.all()) {
         const auto found
                 = std::find_if(forwardedResponseHeaders.begin(), forwardedResponseHeaders.end(),
-                               [&](auto name) { return equalsIgnoreCase(name, fieldName); });
+                               [&](auto name) { return equalsIgnoreCase(name, field.first); });
         if (found != forwardedResponseHeaders.end())
-            headers.push_back({ std::string(*found), value });
+            headers.push_back({ std::string(*found), field.second });
     }
     return headers;
 }
