Read the store's responses strictly in `entry`

`entry`, and the command line, took a response of the store or of a VM whose head had an invalid field name as an answer, for the same cause as those of upstreams: the HTTP client of libwebsockets takes any line.

The client of the store uses a raw connection and the parser of `edge` now, with the code that the client of upstreams uses for it (LwsUtil). A response without a length still ends with its connection; its JSON shows if it is cut.

The test of a slow upstream response allowed 5 s for parts that took 5 s, and its fixture closed the client before the loop, so that one run crashed; both are mended.

--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -9,6 +9,8 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <string>
+#include <string_view>
 #include <vector>
 
 struct lws;
@@ -50,11 +52,9 @@
     static int callback(lws *connection, int reason, void *user, void *in, std::size_t length);
     int dispatch(lws *connection, PendingRequest &pending, int reason, void *in,
                  std::size_t length);
-    static int appendHeaders(lws *connection, const PendingRequest &pending, void *in,
-                             std::size_t length);
-    static int writeBody(lws *connection, PendingRequest &pending);
-    int onHead(lws *connection, PendingRequest &pending);
-    int onReadable(lws *connection, PendingRequest &pending);
+    int receive(lws *connection, PendingRequest &pending, std::string_view bytes);
+    // Ends a request with what was received.
+    void end(lws *connection, PendingRequest &pending);
     void finish(std::uint64_t id, Result<HttpResponse> response);
 
     LwsLoop &m_loop;
--- a/src/http/LwsUtil.cpp
+++ b/src/http/LwsUtil.cpp
@@ -124,15 +124,30 @@
     return value;
 }
 
-bool hasFinalStatus(lws *connection)
+bool connectRaw(lws_context *context, lws_vhost *vhost, const Address &address,
+                const char *protocolName, void *attached, lws **connection)
 {
-    const auto http11 = tokenHeader(connection, WSI_TOKEN_HTTP);
-    const std::string text
-            = http11 ? *http11 : tokenHeader(connection, WSI_TOKEN_HTTP1_0).value_or("");
-    const std::string status = text.substr(0, text.find(' '));
-    constexpr std::size_t digits = 3;
-    return status.size() == digits && status.front() >= '2' && status.front() <= '5'
-           && status.find_first_not_of("0123456789") == std::string::npos;
+    lws_client_connect_info info{};
+    info.context = context;
+    info.vhost = vhost;
+    info.address = address.ip.c_str();
+    info.port = address.port;
+    info.path = "";
+    info.host = info.address;
+    info.method = "RAW";
+    info.local_protocol_name = protocolName;
+    info.opaque_user_data = attached;
+    info.pwsi = connection;
+    return lws_client_connect_via_info(&info) != nullptr;
+}
+
+bool writeRaw(lws *connection, std::string_view bytes)
+{
+    std::string buffer(LWS_PRE, '\0');
+    buffer.append(bytes);
+    return lws_write(connection, reinterpret_cast<unsigned char *>(buffer.data()) + LWS_PRE,
+                     bytes.size(), LWS_WRITE_RAW)
+           >= 0;
 }
 
 std::string clientIp(lws *connection)
--- a/src/http/LwsUtil.h
+++ b/src/http/LwsUtil.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "config/Address.h"
 #include "http/HttpMessages.h"
 
 #include <optional>
@@ -8,6 +9,8 @@
 #include <vector>
 
 struct lws;
+struct lws_context;
+struct lws_vhost;
 
 // Shared helpers on top of the C API of libwebsockets.
 namespace basildeck::lws_util {
@@ -28,9 +31,14 @@
 // Returns the value of a header without a token, by its lower-case name.
 std::optional<std::string> namedHeader(lws *connection, std::string_view name);
 
-// Whether the status of a response is three digits from 200 to 599. libwebsockets accepts any text,
-// and takes interim responses for answers.
-bool hasFinalStatus(lws *connection);
+// Starts a raw client connection, whose callbacks get the attached data. Returns false if that
+// fails at once; the callbacks may have been told of it. libwebsockets' HTTP client is not used,
+// because it does not tell whether the fields of a head are valid.
+bool connectRaw(lws_context *context, lws_vhost *vhost, const Address &address,
+                const char *protocolName, void *attached, lws **connection);
+
+// Writes bytes to a raw connection. Returns false if it must be closed.
+bool writeRaw(lws *connection, std::string_view bytes);
 
 // Returns the numeric address of the client.
 std::string clientIp(lws *connection);
--- a/src/http/UpstreamClient.cpp
+++ b/src/http/UpstreamClient.cpp
@@ -2,6 +2,7 @@
 
 #include "http/HttpParser.h"
 #include "http/LwsLoop.h"
+#include "http/LwsUtil.h"
 #include "http/RequestHead.h"
 
 #include <libwebsockets.h>
@@ -42,15 +43,6 @@
     return head;
 }
 
-bool writeRaw(lws *connection, std::string_view bytes)
-{
-    std::string buffer(LWS_PRE, '\0');
-    buffer.append(bytes);
-    return lws_write(connection, reinterpret_cast<unsigned char *>(buffer.data()) + LWS_PRE,
-                     bytes.size(), LWS_WRITE_RAW)
-           >= 0;
-}
-
 } // namespace
 
 struct UpstreamClient::Attempt
@@ -130,18 +122,9 @@
     Attempt &attempt = *owned;
     m_attempts.emplace(id, std::move(owned));
 
-    lws_client_connect_info info{};
-    info.context = m_loop.context();
-    info.vhost = m_vhost;
-    info.address = address.ip.c_str();
-    info.port = address.port;
-    info.path = "";
-    info.host = info.address;
-    info.method = "RAW";
-    info.local_protocol_name = "upstream";
-    info.opaque_user_data = &attempt;
-    info.pwsi = &attempt.connection;
-    if (lws_client_connect_via_info(&info) == nullptr && m_attempts.contains(id))
+    const bool started = lws_util::connectRaw(m_loop.context(), m_vhost, address, "upstream",
+                                              &attempt, &attempt.connection);
+    if (!started && m_attempts.contains(id))
         m_failedAttempts.push_back(id);
     return id;
 }
@@ -230,7 +213,7 @@
 int UpstreamClient::writeHead(lws *connection, Attempt &attempt)
 {
     attempt.requestStarted = true;
-    if (!writeRaw(connection, serializeHead(attempt.request)))
+    if (!lws_util::writeRaw(connection, serializeHead(attempt.request)))
         return -1;
     if (!attempt.bodySent)
         lws_callback_on_writable(connection);
@@ -245,7 +228,7 @@
     if (part.bytes.empty() && !part.last)
         return 0;
     attempt.bodySent = part.last;
-    if (!part.bytes.empty() && !writeRaw(connection, part.bytes))
+    if (!part.bytes.empty() && !lws_util::writeRaw(connection, part.bytes))
         return -1;
     if (!part.last)
         lws_callback_on_writable(connection);
--- a/src/http/UpstreamClient.h
+++ b/src/http/UpstreamClient.h
@@ -52,8 +52,7 @@
 };
 
 // An HTTP client that streams requests to upstreams. Each attempt sends one request on a connection
-// of its own. libwebsockets provides the connection only: its client does not tell whether the
-// fields of a head are valid. All methods must be called on the loop's thread.
+// of its own. All methods must be called on the loop's thread.
 class UpstreamClient
 {
 public:
--- a/tests/EntryInvalidHeadTest.cpp
+++ b/tests/EntryInvalidHeadTest.cpp
@@ -76,7 +76,7 @@
 {
     const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n";
     const EntryOutcome outcome = respondToEntry({ .parts = { "", head, "body" },
-                                                  .partGap = std::chrono::milliseconds(2500),
+                                                  .partGap = std::chrono::milliseconds(2000),
                                                   .loopTimeout = seconds(1) });
     CHECK(outcome.status == 200);
     CHECK(outcome.body == "body");
--- a/tests/EntryUpstream.h
+++ b/tests/EntryUpstream.h
@@ -57,7 +57,7 @@
 inline EntryOutcome respondToEntry(const EntryScript &script)
 {
     const auto listener = standin::RawListener::make("127.0.0.1", 0);
-    const auto loop = LwsLoop::make({ .timeout = script.loopTimeout });
+    auto loop = LwsLoop::make({ .timeout = script.loopTimeout });
     const std::string upload(script.uploadBytes, 'u');
     std::string_view unsent = upload;
     EntryOutcome outcome;
@@ -81,11 +81,13 @@
     if (script.uploadBytes > 0)
         request.contentLength = script.uploadBytes;
     client->startAttempt(listener->address(), std::move(request));
-    const Time deadline = Clock::now() + seconds(5);
+    const Time deadline = Clock::now() + seconds(10);
     while (!outcome.attemptResult && Clock::now() < deadline)
         loop->serviceOnce();
     listener->stop();
     upstream.join();
+    // Closes what is still open, of which the client is told.
+    loop.reset();
     return outcome;
 }
 
--- a/tests/StoreClientTest.cpp
+++ b/tests/StoreClientTest.cpp
@@ -1,5 +1,6 @@
 #include "store/StoreClient.h"
 
+#include "InvalidHeads.h"
 #include "LogCapture.h"
 #include "http/LwsLoop.h"
 #include "standin/RawSocket.h"
@@ -55,15 +56,16 @@
     // Destroying the loop closes its connections, which notify the client.
     ~OneCall() { m_loop.reset(); }
 
-    void respond(const std::string &body, const std::function<bool()> &isDone)
+    void respond(const std::string &body, const std::function<bool()> &isDone,
+                 const std::string &fields = {})
     {
         const std::jthread store([&] {
             const auto socket = m_listener->accept();
             if (socket && standin::readHead(*socket))
-                socket->send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size())
-                             + "\r\n\r\n" + body);
+                socket->send("HTTP/1.1 200 OK\r\n" + fields + "Content-Length: "
+                             + std::to_string(body.size()) + "\r\n\r\n" + body);
         });
-        const Time deadline = Clock::now() + seconds(5);
+        const Time deadline = Clock::now() + seconds(10);
         while (!isDone() && Clock::now() < deadline)
             m_loop->serviceOnce();
         m_listener->stop();
@@ -87,13 +89,14 @@
     return result;
 }
 
-std::optional<Result<StoredValue>> read(const std::string &body)
+std::optional<Result<StoredValue>> read(const std::string &body, const std::string &fields = {})
 {
     OneCall call;
     std::optional<Result<StoredValue>> result;
     call.client->read("claims", "odd",
                       [&](Result<StoredValue> value) { result = std::move(value); });
-    call.respond(body, [&] { return result.has_value(); });
+    call.respond(
+            body, [&] { return result.has_value(); }, fields);
     return result;
 }
 
@@ -183,6 +186,16 @@
     }
 }
 
+TEST_CASE("a response of the store with an invalid field name is taken for an answer by entry")
+{
+    for (const std::string &line : invalidLines()) {
+        CAPTURE(line);
+        const auto value = read(R"({"name":"odd","version":8,"value":[1]})", line + "\r\n");
+        REQUIRE(value);
+        CHECK_FALSE(*value);
+    }
+}
+
 TEST_SUITE_END();
 
 } // namespace basildeck::test
