Drop the part of a response with the attempt that it came from

Cause: a target broke off a response of more than 64 KiB that waited for earlier ones of its connection. Its part stayed in the request until the next send. A stream that paused its target then used a connection that was gone. Ruled out: two attempts that write to one response.

Change: an attempt that is cancelled or fails drops the part when it ends.

--- a/src/edge/ForwardedRequest.h
+++ b/src/edge/ForwardedRequest.h
@@ -64,6 +64,12 @@
     bool isStreaming = false;   // the head was sent to the caller
     bool isRunRecorded = false; // the run has ended for the target, which only has to send the rest
     std::optional<ForwardingOutcome> outcome; // as told by the peer that sent this response
+
+    void dropBody()
+    {
+        body = {};
+        charge = {};
+    }
 };
 
 // The failure of a first attempt whose request waits for its second attempt.
--- a/src/edge/ForwarderMemory.cpp
+++ b/src/edge/ForwarderMemory.cpp
@@ -5,6 +5,7 @@
 #include "core/Log.h"
 
 #include <array>
+#include <cassert>
 #include <cstdio>
 #include <utility>
 
@@ -124,6 +125,7 @@
 
 void Forwarder::startStreaming(Request &request)
 {
+    assert(request.isInFlight && request.connection);
     claimResponse(request);
     request.response.isStreaming = true;
     const auto length = request.response.head.contentLength;
--- a/src/edge/ForwarderResponses.cpp
+++ b/src/edge/ForwarderResponses.cpp
@@ -108,6 +108,9 @@
     request.hedge.timer.reset();
     if (std::exchange(request.isReadingPaused, false) && request.connection)
         request.connection->setReading(true);
+    // The response may become the next one of its connection before the request is sent again.
+    if (cancelled)
+        request.response.dropBody();
     if (!request.peer.empty()) {
         if (cancelled && request.connection) {
             request.connection->close();
--- a/tests/CutResponseTest.cpp
+++ b/tests/CutResponseTest.cpp
@@ -159,6 +159,35 @@
     }
 }
 
+// Guards against a response that is made of two: the bytes of the failed attempt were streamed when
+// the response became the next one while the retry was still waiting in a queue.
+TEST_CASE("the part of a cut response is sent while its retry waits for a target")
+{
+    EdgeFixture fixture(2, 1);
+    const auto objectAt = [&](std::size_t target) {
+        return "Cookie: Affinity-Key=" + fixture.objectPlacedAt("/safe/", target) + "\r\n";
+    };
+    const std::string body(200'000, 'b');
+    const std::string whole = EdgeFixture::sealedResponse("r2", body);
+    auto caller = fixture.sendAsCaller(EdgeFixture::request("GET", "/safe/1", "r1", objectAt(1))
+                                       + EdgeFixture::request("GET", "/safe/2", "r2", objectAt(0)));
+    auto first = fixture.awaitRequest(1);
+    auto cut = fixture.awaitRequest(0);
+    cut.socket->send(whole.substr(0, whole.size() / 2));
+    cut.socket.reset();
+    // The only slot of the other target is in use.
+    while (fixture.metrics().find("basildeck_retries_total{") == std::string::npos) {
+    }
+    first.socket->send(EdgeFixture::sealedResponse("r1", "one", "Connection: close\r\n"));
+    CHECK(completeResponse(*caller).body == "one");
+    auto retried = fixture.awaitRequest(1);
+    CHECK(retried.head.header("request-id") == "r2");
+    retried.socket->send(whole);
+    CHECK((completeResponse(*caller).body == body));
+    caller->send(EdgeFixture::request("GET", "/nowhere/", "r3"));
+    CHECK(completeResponse(*caller).head.status() == 404);
+}
+
 TEST_SUITE_END();
 
 } // namespace basildeck::test
--- a/tests/EdgeHedgeTest.cpp
+++ b/tests/EdgeHedgeTest.cpp
@@ -218,6 +218,36 @@
     }
 }
 
+// Guards against a response that begins with the part that a failed first attempt left.
+TEST_CASE("the part of a cut first attempt is sent while the second attempt runs")
+{
+    HedgeFixture fixture;
+    const std::string body(200'000, 'b');
+    const std::string whole = answer(body);
+    const auto request = [&](const std::string &route, const std::string &id) {
+        return EdgeFixture::request("GET", route, id,
+                                    "Cookie: Affinity-Key=" + fixture.objectPlacedAt(route, 0)
+                                            + "\r\n");
+    };
+    auto caller = fixture.sendAsCaller(request("/unsafe/", "r0") + request("/safe/", "r1"));
+    auto earlier = fixture.awaitRequest(0);
+    auto cut = fixture.awaitRequest(0);
+    if (earlier.head.header("request-id") == "r1")
+        std::swap(earlier, cut);
+    auto second = fixture.awaitRequest(1);
+    cut.socket->send(whole.substr(0, whole.size() / 2));
+    cut.socket.reset();
+    while (!fixture.hasMetric("basildeck_target_failures_total{how=\"lost\"}"))
+        std::this_thread::yield();
+    earlier.socket->send(EdgeFixture::sealedResponse("r0", "zero"));
+    REQUIRE(readResponse(*caller)->body == "zero");
+    second.socket->send(whole);
+    const auto response = readResponse(*caller);
+    REQUIRE(response);
+    CHECK(response->complete);
+    CHECK((response->body == body));
+}
+
 TEST_SUITE_END();
 
 } // namespace basildeck::test
