Hold back states that were written before the one in force

Cause: a report of a target whose response was lost took effect seconds later, behind the report that the target is leaving. Ruled out: a VM that lags; the entry's revision is the higher one.

Change: the filter of restored objects always compares. An older state is held back until its author writes again, or for the settling time, which does not run while the VM receives no changes. The test that asserted that older states are passed on now asserts all other orders, and the late write in cases of its own.

--- a/src/edge/FleetView.cpp
+++ b/src/edge/FleetView.cpp
@@ -105,8 +105,11 @@
 
 void FleetView::settle()
 {
+    const Time now = m_dependencies.loop.now();
     for (auto &[kind, filter] : m_filters) {
-        if (filter.tick(m_dependencies.loop.now()) && kind == vmKind)
+        if (!receivesChanges(*replica(kind)))
+            filter.postpone(now);
+        else if (filter.tick(now) && kind == vmKind)
             handleVms();
     }
 }
@@ -162,6 +165,11 @@
                        [](const auto &replica) { return replica->isReachable(); });
 }
 
+bool FleetView::receivesChanges(const ObjectReplica &replica) const
+{
+    return replica.isReachable() || m_follower.isFollowing();
+}
+
 void FleetView::updateRole()
 {
     const ObjectReplica &vms = *replica(vmKind);
@@ -251,9 +259,8 @@
 void FleetView::deregisterLostVm()
 {
     const ObjectReplica &vms = *replica(vmKind);
-    const bool isVmListCurrent = vms.isReachable() || m_follower.isFollowing();
     // The revisions of an earlier era may be those of other states by now.
-    if (!isVmListCurrent || vms.isOfEarlierEra())
+    if (!receivesChanges(vms) || vms.isOfEarlierEra())
         return;
     std::set<std::string> left;
     for (const StoredObject &object : m_filters.at(vmKind).broughtBackByCopy(
@@ -325,8 +332,7 @@
 {
     settle();
     updateRole();
-    const bool isVmListCurrent = replica(vmKind)->isReachable() || m_follower.isFollowing();
-    if (!m_registration.isRegistered() && !m_isDeregistering && isVmListCurrent)
+    if (!m_registration.isRegistered() && !m_isDeregistering && receivesChanges(*replica(vmKind)))
         handleVms();
     if (!m_isDeregistering)
         deregisterLostVm();
@@ -348,8 +354,7 @@
         // While changes go on, some VM is always a little ahead.
         if (replica->version() >= lag.announced)
             lag = lagFromNow;
-        const bool seemsCurrent = replica->isReachable() || m_follower.isFollowing();
-        if (seemsCurrent && now - lag.since < maxReplicaLag)
+        if (receivesChanges(*replica) && now - lag.since < maxReplicaLag)
             continue;
         peer = newer;
         replica->renewWatch(lag.since);
--- a/src/edge/FleetView.h
+++ b/src/edge/FleetView.h
@@ -131,6 +131,8 @@
     // was done just before.
     void renewWatches();
     bool isStoreReachedDirectly() const;
+    // Whether the changes of a replica arrive, from the store or from a relay.
+    bool receivesChanges(const ObjectReplica &replica) const;
     void tick();
     // The VM to fetch changes from that this VM lacks; null if it is not behind. A watch that
     // should have reported the changes is sent again.
--- a/src/edge/RestoredObjectFilter.cpp
+++ b/src/edge/RestoredObjectFilter.cpp
@@ -43,6 +43,17 @@
     return *key < *knownKey || (*key == *knownKey && !m_objects.contains(object.name));
 }
 
+bool RestoredObjectFilter::isLateWrite(const StoredObject &object) const
+{
+    const StoredObject *known = lastKnown(object.name);
+    if (known == nullptr || !m_order)
+        return false;
+    const auto key = m_order(object);
+    const auto knownKey = m_order(*known);
+    // An entry that expired returns with the key that it had.
+    return key && knownKey && *key < *knownKey;
+}
+
 bool RestoredObjectFilter::isFromCopy(const StoredObject &object) const
 {
     if (const auto isOlder = isOlderByOrder(object))
@@ -80,6 +91,13 @@
         m_held[object.name] = { object, *m_settlesAt };
         return;
     }
+    if (isLateWrite(object)) {
+        BASILDECK_INFO(logComponent)
+                << "state written before the one in force is held back kind=" << m_kind
+                << " name=" << object.name << " revision=" << object.revision;
+        m_held[object.name] = { object, now + m_times.older };
+        return;
+    }
     accept(object);
 }
 
@@ -132,9 +150,8 @@
     }
     for (const auto &[name, held] : due) {
         BASILDECK_WARNING(logComponent)
-                << "not written again after the restore, the store's state is in force kind="
-                << m_kind << " name=" << name
-                << " revision=" << (held.object ? held.object->revision : 0)
+                << "not written again in time, the store's state is in force kind=" << m_kind
+                << " name=" << name << " revision=" << (held.object ? held.object->revision : 0)
                 << " exists=" << held.object.has_value();
         if (held.object)
             accept(*held.object);
@@ -144,6 +161,14 @@
     return !due.empty();
 }
 
+void RestoredObjectFilter::postpone(Time now)
+{
+    for (auto &[name, held] : m_held)
+        held.until = std::max(held.until, now + (held.object ? m_times.older : m_times.missing));
+    if (m_settlesAt)
+        m_settlesAt = std::max(*m_settlesAt, now + std::max(m_times.missing, m_times.older));
+}
+
 std::vector<StoredObject> RestoredObjectFilter::broughtBackByCopy(Time now,
                                                                   Duration unwrittenFor) const
 {
--- a/src/edge/RestoredObjectFilter.h
+++ b/src/edge/RestoredObjectFilter.h
@@ -13,12 +13,14 @@
 
 namespace basildeck {
 
-// Decides which objects of a kind are in force after the store has returned from an older copy.
+// Decides which objects of a kind are in force while the store has older states than before.
 //
-// What was written to the store after the copy was made, and so was lost, is written again by its
-// authors. Until then, or until a settling time is over, the states that were known before stay in
-// force, so that nothing that had taken effect is undone in between. At all other times the objects
-// in force are those of the store.
+// After the store has returned from an older copy, what was written since the copy was made, and so
+// was lost, is written again by its authors. A single write whose response was lost may also take
+// effect seconds late, after newer ones of its author. Until the author has written again, or until
+// a settling time is over, the states that were known before stay in force, so that nothing that
+// had taken effect is undone in between. At all other times the objects in force are those of the
+// store.
 class RestoredObjectFilter
 {
 public:
@@ -51,6 +53,8 @@
     // Brings the store's state into force where the settling time is over. Returns whether there
     // was such a state.
     bool tick(Time now);
+    // The store takes no writes at the moment, so the settling times start again.
+    void postpone(Time now);
 
     // The objects in force, by name.
     const std::map<std::string, StoredObject> &objects() const { return m_objects; }
@@ -73,6 +77,8 @@
 
     // Whether the order of the platform tells that an object is older than the last known state.
     std::optional<bool> isOlderByOrder(const StoredObject &object) const;
+    // Whether an object was written before the last known state, though it was stored after it.
+    bool isLateWrite(const StoredObject &object) const;
     bool isFromCopy(const StoredObject &object) const;
     const StoredObject *lastKnown(const std::string &name) const;
     void accept(const StoredObject &object);
--- a/tests/RestoredObjectFilterTest.cpp
+++ b/tests/RestoredObjectFilterTest.cpp
@@ -84,18 +84,81 @@
 
 TEST_SUITE_BEGIN("restored object filter");
 
-TEST_CASE("without a restore all changes are passed on")
+TEST_CASE("without a restore all changes are passed on but for late writes")
 {
     TargetFilter f;
     f.filter.stored(target("a", 5, 3), f.now);
-    f.filter.stored(target("a", 6, 2), f.now);
+    f.filter.stored(target("a", 6, 3), f.now);
+    f.filter.stored(target("a", 7, 4), f.now);
+    f.filter.stored(target("b", 8, 1), f.now);
     f.filter.deleted("a", f.now);
     f.filter.deleted("a", f.now);
-    f.filter.stored(target("a", 7, 1), f.now);
-    CHECK(f.takeEvents() == "+a +a -a +a ");
+    f.filter.stored(target("a", 9, 4), f.now);
+    CHECK(f.takeEvents() == "+a +a +a +b -a +a ");
     CHECK_FALSE(f.filter.tick(f.now + seconds(100)));
 }
 
+// Guards against requests to a target that is leaving: the store carried out an earlier report of
+// it after the one that said so.
+TEST_CASE("a late report makes a leaving target ready again")
+{
+    TargetFilter f;
+    f.filter.stored(target("a", 5, 3), f.now);
+    f.filter.stored(target("a", 6, 5, "draining"), f.now);
+    f.takeEvents();
+
+    SUBCASE("the report is not in force until the target reports again")
+    {
+        f.filter.stored(target("a", 7, 4), f.now);
+        CHECK_FALSE(f.filter.tick(f.now + olderTime - milliseconds(1)));
+        CHECK(f.takeEvents().empty());
+        CHECK(f.content("a")["state"] == "draining");
+        f.filter.stored(target("a", 8, 6, "draining"), f.now);
+        CHECK(f.takeEvents() == "+a ");
+        CHECK_FALSE(f.filter.tick(f.now + olderTime));
+    }
+
+    SUBCASE("the store cannot be written, so that the target cannot report")
+    {
+        f.filter.stored(target("a", 7, 4), f.now);
+        f.filter.postpone(f.now + olderTime);
+        CHECK_FALSE(f.filter.tick(f.now + olderTime));
+        CHECK(f.filter.tick(f.now + 2 * olderTime));
+        CHECK(f.takeEvents() == "+a ");
+    }
+
+    SUBCASE("the report is of the instance before")
+    {
+        f.filter.stored(target("a", 7, 1, "draining", 2000), f.now);
+        f.filter.stored(target("a", 8, 9, "ready", 1000), f.now);
+        CHECK(f.takeEvents() == "+a ");
+        f.filter.stored(target("a", 9, 1, "ready", 3000), f.now);
+        CHECK(f.takeEvents() == "+a ");
+    }
+
+    SUBCASE("the target has left")
+    {
+        f.filter.deleted("a", f.now);
+        f.filter.stored(target("a", 7, 4), f.now);
+        CHECK(f.takeEvents() == "-a ");
+        f.filter.deleted("a", f.now); // it has expired
+        CHECK_FALSE(f.filter.tick(f.now + olderTime));
+        CHECK(f.takeEvents().empty());
+    }
+}
+
+TEST_CASE("a late write brings an earlier configuration into force")
+{
+    ConfigFilter f;
+    f.filter.stored(config(5, "0000000b"), f.now);
+    f.filter.stored(config(6, "0000000c"), f.now);
+    f.takeEvents();
+    f.filter.stored(config(7, "0000000b"), f.now);
+    CHECK(f.takeEvents().empty());
+    f.filter.stored(config(8, "0000000d"), f.now);
+    CHECK(f.takeEvents() == "+main ");
+}
+
 TEST_CASE("a configuration lost with the copy stays in force until it is written again")
 {
     ConfigFilter f;
