Keep no contents in the log of changes

Cause: the changes that a VM keeps for followers, up to 4,096, held each state that an object had. With 4,200 routes a change of one weight adds some megabytes at every VM, and a follower that was several changes behind received all of these states, of which it uses the last one.

Change: the log has names and revisions; what an object became is in the replica. Followers receive one change for each object. Contents are moved, no longer copied, from a response into the replica. A deletion is sent with an empty content, which earlier builds read, too: they use its name and revision.

--- a/src/edge/ObjectReplica.cpp
+++ b/src/edge/ObjectReplica.cpp
@@ -270,7 +270,7 @@
         if (m_objects.contains(name))
             continue;
         m_lastChange = m_version; // upper bound: the revision of the deletion is unknown
-        logChange({ object, true }, m_version.revision);
+        logChange(object, m_version.revision);
         m_callbacks.onDeleted(name);
     }
     for (const auto &[name, object] : m_objects) {
@@ -279,7 +279,7 @@
         if (old != before.end() && old->second.revision == object.revision)
             continue;
         if (!isFirst)
-            logChange({ object, false }, m_version.revision);
+            logChange(object, m_version.revision);
         m_callbacks.onStored(object);
     }
     if (isFirst)
@@ -293,16 +293,16 @@
     m_callbacks.onBatchApplied();
 }
 
-void ObjectReplica::logChange(ObjectChange change, std::uint64_t batchRevision)
+void ObjectReplica::logChange(const StoredObject &object, std::uint64_t batchRevision)
 {
-    m_log.push_back({ batchRevision, std::move(change) });
+    m_log.push_back({ batchRevision, object.name, object.revision });
     while (m_log.size() > maxLoggedChanges) {
         m_logStart = m_log.front().revision;
         m_log.pop_front();
     }
 }
 
-std::optional<std::vector<ObjectChange>>
+std::optional<std::vector<ReplicaChange>>
 ObjectReplica::changesSince(const StoreVersion &version) const
 {
     if (m_logStart == 0 || version.era != m_version.era || version.revision < m_logStart)
@@ -311,11 +311,18 @@
             return gap.after < version.revision && version.revision < gap.before;
         }))
         return std::nullopt;
-    std::vector<ObjectChange> changes;
-    for (const LoggedChange &logged : m_log) {
-        if (logged.revision > version.revision)
-            changes.push_back(logged.change);
+    std::vector<ReplicaChange> changes;
+    std::set<std::string_view> names;
+    for (auto logged = m_log.rbegin(); logged != m_log.rend(); ++logged) {
+        if (logged->revision <= version.revision)
+            break;
+        if (!names.insert(logged->name).second)
+            continue;
+        const auto object = m_objects.find(logged->name);
+        changes.push_back({ logged->name, logged->objectRevision,
+                            object == m_objects.end() ? nullptr : &object->second });
     }
+    std::reverse(changes.begin(), changes.end());
     return changes;
 }
 
@@ -331,13 +338,12 @@
     return true;
 }
 
-void ObjectReplica::adoptChanges(const std::vector<ObjectChange> &changes,
-                                 const StoreVersion &version)
+void ObjectReplica::adoptChanges(std::vector<ObjectChange> changes, const StoreVersion &version)
 {
     if (version <= m_version || version.era != m_version.era || isOfEarlierEra())
         return;
-    for (const ObjectChange &change : changes)
-        apply(change, version.revision);
+    for (ObjectChange &change : changes)
+        apply(std::move(change), version.revision);
     m_version = version;
     if (changes.empty())
         return;
@@ -384,7 +390,7 @@
         retryLater("status " + std::to_string(response.value().status));
         return;
     }
-    const auto changes = m_protocol.parseChanges(response.value().body);
+    auto changes = m_protocol.parseChanges(response.value().body);
     if (!changes) {
         m_needsFullList = true;
         retryLater(changes.error().detail);
@@ -405,8 +411,8 @@
     m_backoff = initialBackoff;
     // A response that this VM reads late, because it was paused, says nothing about the time since.
     recordConfirmation(std::min(m_loop.now(), m_watchEndsAt));
-    for (const ObjectChange &change : changes.value().changes)
-        apply(change, changes.value().storeRevision);
+    for (ObjectChange &change : changes.value().changes)
+        apply(std::move(change), changes.value().storeRevision);
     m_version.revision = changes.value().storeRevision;
     if (changes.value().changes.empty()) {
         watch();
@@ -419,24 +425,25 @@
         m_retryTimer.startOnce(m_watchTimes.delay);
 }
 
-void ObjectReplica::apply(const ObjectChange &change, std::uint64_t batchRevision)
+void ObjectReplica::apply(ObjectChange change, std::uint64_t batchRevision)
 {
-    const std::string &name = change.object.name;
+    const std::string name = change.object.name;
     const auto known = m_objects.find(name);
     if (change.deleted) {
         // A snapshot adopted from another VM may be newer than this event.
         if (known == m_objects.end() || known->second.revision > change.object.revision)
             return;
         m_objects.erase(known);
-        logChange(change, batchRevision);
+        logChange(change.object, batchRevision);
         m_callbacks.onDeleted(name);
         return;
     }
     if (known != m_objects.end() && known->second.revision >= change.object.revision)
         return;
-    m_objects[name] = change.object;
-    logChange(change, batchRevision);
-    m_callbacks.onStored(change.object);
+    StoredObject &object = m_objects[name];
+    object = std::move(change.object);
+    logChange(object, batchRevision);
+    m_callbacks.onStored(object);
 }
 
 } // namespace basildeck
--- a/src/edge/ObjectReplica.h
+++ b/src/edge/ObjectReplica.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace basildeck {
@@ -29,6 +30,14 @@
     milliseconds maxWait{ 1800 };
 };
 
+// A change to an object, by which its present state is reached.
+struct ReplicaChange
+{
+    std::string_view name;
+    std::uint64_t revision = 0;
+    const StoredObject *object = nullptr; // null if it was deleted
+};
+
 // A local replica of all store objects of one kind, kept up to date with list and watch calls, or
 // with the changes that another VM relays. While this VM cannot reach the store, newer snapshots
 // from other VMs can be adopted. The version of the replica never decreases: when the store returns
@@ -111,10 +120,10 @@
     bool adoptSnapshot(std::map<std::string, StoredObject> objects, const StoreVersion &version);
     // Applies changes from another VM, which lead from this replica's version to a newer one of the
     // same era.
-    void adoptChanges(const std::vector<ObjectChange> &changes, const StoreVersion &version);
-    // The changes after a version, oldest first; nothing if they are not known, or if the version
-    // is of another era.
-    std::optional<std::vector<ObjectChange>> changesSince(const StoreVersion &version) const;
+    void adoptChanges(std::vector<ObjectChange> changes, const StoreVersion &version);
+    // The last change after a version to each object that changed, oldest first; nothing if they
+    // are not known, or if the version is of another era. Valid until the next change.
+    std::optional<std::vector<ReplicaChange>> changesSince(const StoreVersion &version) const;
     bool hasChangesSince(const StoreVersion &version) const { return m_lastChange > version; }
 
 private:
@@ -141,14 +150,15 @@
     void retryLater(const std::string &reason);
     void setReachable(bool reachable, const std::string &reason);
     void replaceAll(std::map<std::string, StoredObject> objects, const StoreVersion &version);
-    void apply(const ObjectChange &change, std::uint64_t batchRevision);
-    void logChange(ObjectChange change, std::uint64_t batchRevision);
+    void apply(ObjectChange change, std::uint64_t batchRevision);
+    void logChange(const StoredObject &object, std::uint64_t batchRevision);
 
-    // A change and the revision of the replica after it.
+    // A change and the revision of the replica after it. What the object became is in the objects.
     struct LoggedChange
     {
         std::uint64_t revision; // in the era of the replica
-        ObjectChange change;
+        std::string name;
+        std::uint64_t objectRevision;
     };
 
     // Revisions of which a list skipped the changes. What differed between them may be an object
--- a/src/edge/ReplicaRelay.cpp
+++ b/src/edge/ReplicaRelay.cpp
@@ -57,10 +57,21 @@
              { "content", object.content } };
 }
 
-StoredObject toObject(const json &object)
+json toJson(const ReplicaChange &change)
 {
-    return { object.at("name").get<std::string>(), object.at("revision").get<std::uint64_t>(),
-             object.at("content") };
+    json entry = change.object == nullptr ? json{ { "name", change.name },
+                                                  { "revision", change.revision },
+                                                  { "content", nullptr } }
+                                          : toJson(*change.object);
+    entry["deleted"] = change.object == nullptr;
+    return entry;
+}
+
+// Takes the content out of an entry.
+StoredObject takeObject(json &entry)
+{
+    return { entry.at("name").get<std::string>(), entry.at("revision").get<std::uint64_t>(),
+             std::move(entry.at("content")) };
 }
 
 json describe(const ObjectReplica &replica, const StoreVersion &since)
@@ -68,11 +79,8 @@
     json kind{ { "era", replica.version().era }, { "revision", replica.version().revision } };
     if (const auto changes = replica.changesSince(since)) {
         kind["changes"] = json::array();
-        for (const ObjectChange &change : *changes) {
-            json entry = toJson(change.object);
-            entry["deleted"] = change.deleted;
-            kind["changes"].push_back(std::move(entry));
-        }
+        for (const ReplicaChange &change : *changes)
+            kind["changes"].push_back(toJson(change));
         return kind;
     }
     kind["objects"] = json::array();
@@ -81,14 +89,14 @@
     return kind;
 }
 
-void applyKind(const json &kind, ObjectReplica &replica)
+void applyKind(json &kind, ObjectReplica &replica)
 {
     const StoreVersion version{ kind.at("era").get<std::uint64_t>(),
                                 kind.at("revision").get<std::uint64_t>() };
     if (kind.contains("objects")) {
         std::map<std::string, StoredObject> objects;
-        for (const json &entry : kind.at("objects")) {
-            StoredObject object = toObject(entry);
+        for (json &entry : kind.at("objects")) {
+            StoredObject object = takeObject(entry);
             objects[object.name] = std::move(object);
         }
         if (replica.adoptSnapshot(std::move(objects), version))
@@ -98,9 +106,11 @@
         return;
     }
     std::vector<ObjectChange> changes;
-    for (const json &entry : kind.at("changes"))
-        changes.push_back({ toObject(entry), entry.at("deleted").get<bool>() });
-    replica.adoptChanges(changes, version);
+    for (json &entry : kind.at("changes")) {
+        const bool isDeleted = entry.at("deleted").get<bool>();
+        changes.push_back({ takeObject(entry), isDeleted });
+    }
+    replica.adoptChanges(std::move(changes), version);
 }
 
 json describeConfirmation(const ObjectReplica &replica, Duration age)
@@ -275,7 +285,7 @@
     try {
         // An earlier build passes on what it read, however deeply nested. Copies of a value
         // recurse.
-        const json response = json::parse(body, [](int depth, json::parse_event_t, const json &) {
+        json response = json::parse(body, [](int depth, json::parse_event_t, const json &) {
             return depth <= maxResponseDepth;
         });
         for (const auto &replica : replicas) {
--- a/tests/ReplicaRelayTest.cpp
+++ b/tests/ReplicaRelayTest.cpp
@@ -303,6 +303,25 @@
     CHECK(follower.servers().confirmedAge() >= milliseconds(7));
 }
 
+// Guards against a VM that keeps each state that a large object had: 1,300 a day.
+TEST_CASE("the contents of objects that were replaced are kept and sent")
+{
+    EventLoop loop;
+    Vm source(loop);
+    source.servers().adoptSnapshot({ { "b", { "b", 4, 1 } } }, { 0, 4 });
+    source.servers().adoptChanges({ stored("a", 5) }, { 0, 5 });
+    source.servers().adoptChanges({ stored("a", 6), stored("c", 7) }, { 0, 7 });
+    source.servers().adoptChanges({ stored("a", 8), deleted("c", 9) }, { 0, 9 });
+    const auto changes = source.servers().changesSince({ 0, 4 });
+    REQUIRE(changes);
+    REQUIRE(changes->size() == 2);
+    CHECK(changes->front().object == &source.servers().objects().at("a"));
+    CHECK(changes->back().name == "c");
+    CHECK(changes->back().object == nullptr);
+    CHECK(source.servers().changesSince({ 0, 8 })->size() == 2);
+    CHECK(source.servers().changesSince({ 0, 9 })->empty());
+}
+
 TEST_CASE("malformed requests and responses do no harm")
 {
     EventLoop loop;
