Do not give up a large response while parts of it arrive

Cause: a follower gave a relay 800 ms, and any other VM 1 s, for a whole response, whatever its size; a VM gave the store 1.5 s. The configuration of 4,200 routes has 1.67 MB. Where that took longer, on a busy relay or a link of 10 Mbit/s, the call was begun again from its first byte, at the next relay or any VM, while the relay that was left still held what it had written.

Change: the limit holds for the beginning of a response and for each pause in it, and 10 s for the whole. A VM that receives a response asks no other VM at the same time, and does not send its watch again.

--- a/src/edge/FleetView.cpp
+++ b/src/edge/FleetView.cpp
@@ -45,6 +45,8 @@
     , m_timer(dependencies.loop, [this] { tick(); })
     , m_roleTimer(dependencies.loop, [this] { updateRole(); })
 {
+    m_catchUpClient.setTransferTimes(ReplicaFollower::responseTimeout,
+                                     ReplicaFollower::maxTransferTime);
     const FleetObjectFormat &format = dependencies.format;
     addReplica(format.configKind, configSettlingTimes, format.configOrder,
                { [this](const StoredObject &object) { handleConfig(object); },
@@ -364,7 +366,8 @@
 
 void FleetView::fetchNewerChanges()
 {
-    if (m_catchUpClient.isBusy())
+    // A large response that arrives may be what this VM lacks.
+    if (m_catchUpClient.isBusy() || m_follower.isReceiving())
         return;
     const Time now = m_dependencies.loop.now();
     const Heartbeat *peer = peerToCatchUpWith(now);
--- a/src/edge/JsonHttpClient.cpp
+++ b/src/edge/JsonHttpClient.cpp
@@ -1,5 +1,6 @@
 #include "edge/JsonHttpClient.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -31,6 +32,12 @@
     cancel();
 }
 
+void JsonHttpClient::setTransferTimes(Duration maxIdle, Duration maxTransfer)
+{
+    m_maxIdle = maxIdle;
+    m_maxTransfer = maxTransfer;
+}
+
 void JsonHttpClient::closeConnection()
 {
     if (!m_connection)
@@ -58,6 +65,12 @@
 
 void JsonHttpClient::addToBody(std::string_view bytes)
 {
+    if (m_maxIdle > Duration::zero()) {
+        const Time now = m_loop.now();
+        if (m_response.body.empty())
+            m_transferEndsAt = now + m_maxTransfer;
+        m_timeout.startOnce(std::clamp(m_transferEndsAt - now, Duration::zero(), m_maxIdle));
+    }
     if (m_response.body.size() + bytes.size() <= maxBodyBytes) {
         m_response.body.append(bytes);
         return;
--- a/src/edge/JsonHttpClient.h
+++ b/src/edge/JsonHttpClient.h
@@ -37,12 +37,18 @@
     explicit JsonHttpClient(EventLoop &loop);
     ~JsonHttpClient();
 
+    // From then on, a response whose body has begun may take this long in all, as long as a part of
+    // it arrives within the idle time, whatever the time limit of its call.
+    void setTransferTimes(Duration maxIdle, Duration maxTransfer);
+
     // Sends a request. Path and query are sent unchanged; an empty body is omitted.
     void call(const Address &address, const std::string &method, const std::string &pathAndQuery,
               const std::string &body, Duration timeout, ResponseCallback onResponse);
     // Aborts the current request without calling its callback, and closes the connection.
     void cancel();
     bool isBusy() const { return static_cast<bool>(m_onResponse); }
+    // Whether the body of the response arrives.
+    bool isReceiving() const { return isBusy() && !m_response.body.empty(); }
 
 private:
     void addToBody(std::string_view bytes);
@@ -51,6 +57,9 @@
 
     EventLoop &m_loop;
     Timer m_timeout;
+    Duration m_maxIdle{ 0 }; // of a transfer; zero if it has no time limit of its own
+    Duration m_maxTransfer{ 0 };
+    Time m_transferEndsAt{};
     Address m_address;
     std::unique_ptr<HttpClientConnection> m_connection;
     JsonHttpResponse m_response;
--- a/src/edge/ObjectReplica.cpp
+++ b/src/edge/ObjectReplica.cpp
@@ -27,7 +27,9 @@
     , m_watchTimes(watchTimes)
     , m_client(loop)
     , m_retryTimer(loop, [this] { m_needsFullList ? list() : watch(); })
-{}
+{
+    m_client.setTransferTimes(callTimeout, maxTransferTime);
+}
 
 void ObjectReplica::start()
 {
@@ -153,7 +155,8 @@
 
 void ObjectReplica::renewWatch(Time sentBefore)
 {
-    if (!m_isWatchPending || m_calledAt >= sentBefore)
+    // A response that arrives is not lost.
+    if (!m_isWatchPending || m_calledAt >= sentBefore || m_client.isReceiving())
         return;
     BASILDECK_INFO(logComponent)
             << "sending the watch again, its response may be lost kind=" << m_kind
--- a/src/edge/ObjectReplica.h
+++ b/src/edge/ObjectReplica.h
@@ -49,6 +49,8 @@
     // most, also if the store lost the watch that would have reported it. A list comes on top.
     static constexpr Duration maxChangeLag = seconds(4);
     static constexpr Duration callTimeout = milliseconds(1500);
+    // Time limit for a response that has begun, as long as further parts arrive.
+    static constexpr Duration maxTransferTime = seconds(10);
     static constexpr Duration initialBackoff = milliseconds(150);
     // Time for a new connection and a call that returns at once, between distant regions.
     static constexpr Duration reconnectionTime = milliseconds(500);
--- a/src/edge/ReplicaFollower.cpp
+++ b/src/edge/ReplicaFollower.cpp
@@ -24,7 +24,9 @@
     , m_callbacks(std::move(callbacks))
     , m_client(loop)
     , m_timer(loop, [this] { poll(); })
-{}
+{
+    m_client.setTransferTimes(responseTimeout, maxTransferTime);
+}
 
 void ReplicaFollower::setActive(bool active)
 {
--- a/src/edge/ReplicaFollower.h
+++ b/src/edge/ReplicaFollower.h
@@ -17,8 +17,12 @@
 public:
     // How long a relay that works may wait for a change.
     static constexpr milliseconds pollWait{ 1000 };
-    // Time limit for a response, in addition to the wait.
+    // Time limit for the beginning of a response, in addition to the wait, and for each further
+    // part.
     static constexpr Duration responseTimeout = milliseconds(800);
+    // Time limit for the whole response. A large one takes seconds on a narrow or busy link, and
+    // one that was given up would take as long again.
+    static constexpr Duration maxTransferTime = seconds(10);
     // Time limit for a response with all objects, when many VMs start at the same time.
     static constexpr Duration snapshotTimeout = seconds(3);
     // Delay between two requests, so that changes in quick succession need one response.
@@ -45,6 +49,8 @@
     void setActive(bool active);
     // Whether the last request to a relay succeeded.
     bool isFollowing() const { return m_isFollowing; }
+    // Whether a response of a relay arrives.
+    bool isReceiving() const { return m_client.isReceiving(); }
     // Follows another relay, because this one is behind the store.
     void skipRelay();
 
