--- a/src/edge/ObjectReplica.cpp
+++ b/src/edge/ObjectReplica.cpp
@@ -316,9 +316,8 @@
         return std::nullopt;
     std::vector<ReplicaChange> changes;
     std::set<std::string_view> names;
-    for (auto logged = m_log.rbegin(); logged != m_log.rend(); ++logged) {
-        if (logged->revision <= version.revision)
-            break;
+    for (auto logged = m_log.rbegin();
+         logged != m_log.rend() && logged->revision > version.revision; ++logged) {
         if (!names.insert(logged->name).second)
             continue;
         const auto object = m_objects.find(logged->name);
@@ -443,8 +442,7 @@
     }
     if (known != m_objects.end() && known->second.revision >= change.object.revision)
         return;
-    StoredObject &object = m_objects[name];
-    object = std::move(change.object);
+    const StoredObject &object = m_objects[name] = std::move(change.object);
     logChange(object, batchRevision);
     m_callbacks.onStored(object);
 }
