--- a/review/rig-3/SlowReaders.cpp
+++ b/review/rig-3/SlowReaders.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-constexpr int memoryMb = 160;
-constexpr int clientsPerNode = 100;
+constexpr int memoryMb = 260;
+constexpr int clientsPerNode = 140;
 constexpr std::size_t pipelineDepth = 80; // requests that a client has open on its channel
 constexpr std::size_t answerBytes = 48'000;
 constexpr int targetCount = 12;
